--- /dev/null
+++ b/kernel/daemon.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+/// @file
+/// Life cycle of the daemon: starts a thread for each plug-in and stops them in reverse order.
+
+#include "kernel/daemon_context.hpp"
+
+namespace pistachiohub::kernel
+{
+
+/// Runs all registered plug-ins until the daemon is drained.
+///
+/// SIGTERM and SIGINT begin a graceful shutdown; a second signal changes nothing, so that no
+/// request in flight is cut.
+/// @throws error when a plug-in cannot be created, for example because a port is taken.
+void run_daemon(daemon_context& context);
+
+/// @returns a number for a process that starts now, unique on this host: wall clock milliseconds
+/// times 1024 plus 10 random bits.
+[[nodiscard]] std::uint64_t new_incarnation();
+
+} // namespace pistachiohub::kernel
--- /dev/null
+++ b/kernel/daemon_context.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// What the kernel hands to each plug-in: settings, metrics and objects shared by type.
+
+#include "kernel/metrics.hpp"
+#include "kernel/settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <typeindex>
+#include <unordered_map>
+#include <utility>
+
+namespace pistachiohub::kernel
+{
+
+/// The state of a daemon that all of its duties share.
+class daemon_context
+{
+public:
+    daemon_context(settings own_settings, std::uint64_t incarnation)
+        : m_settings(std::move(own_settings))
+        , m_incarnation(incarnation)
+    {
+    }
+
+    /// @returns the settings of this daemon.
+    [[nodiscard]] settings const& own_settings() const
+    {
+        return m_settings;
+    }
+
+    /// @returns the number that is new at each start of this daemon.
+    [[nodiscard]] std::uint64_t incarnation() const
+    {
+        return m_incarnation;
+    }
+
+    /// @returns the metrics registry.
+    [[nodiscard]] metrics& own_metrics()
+    {
+        return m_metrics;
+    }
+
+    /// @returns the one object of type `Shared`, default-constructed on first use.
+    ///
+    /// Used for mailboxes and snapshots, each identified by its message or value type.
+    template<class Shared>
+    [[nodiscard]] Shared& shared()
+    {
+        std::lock_guard const lock(m_mutex);
+        auto& slot = m_shared[std::type_index(typeid(Shared))];
+        if (!slot)
+            slot = std::make_shared<Shared>();
+        return *static_cast<Shared*>(slot.get());
+    }
+
+    /// Starts a graceful shutdown; idempotent and callable from any thread.
+    void begin_drain()
+    {
+        m_is_draining.store(true);
+    }
+
+    /// @returns true once a graceful shutdown has begun.
+    [[nodiscard]] bool is_draining() const
+    {
+        return m_is_draining.load();
+    }
+
+    /// Says that no request is in flight and all counters are flushed, so the process may exit.
+    void finish_drain()
+    {
+        m_is_drained.store(true);
+    }
+
+    /// @returns true once the process may exit.
+    [[nodiscard]] bool is_drained() const
+    {
+        return m_is_drained.load();
+    }
+
+private:
+    settings m_settings;
+    std::uint64_t m_incarnation;
+    metrics m_metrics;
+    std::mutex m_mutex;
+    std::unordered_map<std::type_index, std::shared_ptr<void>> m_shared;
+    std::atomic<bool> m_is_draining{false};
+    std::atomic<bool> m_is_drained{false};
+};
+
+} // namespace pistachiohub::kernel
--- /dev/null
+++ b/libraries/messages/peer_message.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+/// @file
+/// Messages between daemons.
+
+#include "libraries/identity/request_id.hpp"
+#include "libraries/outcome/outcome.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pistachiohub::messages
+{
+
+/// Free slots of one service that the sender offers for foreign requests.
+struct service_credit
+{
+    std::string service;
+    std::uint32_t slots = 0;
+};
+
+/// What the sender knows of one entry host, itself included.
+struct member_summary
+{
+    std::string name;
+    std::string failure_domain;
+    std::uint64_t incarnation = 0;
+    std::uint32_t epoch = 0;
+    bool is_leaving = false;
+    /// Milliseconds since the sender heard this host directly or indirectly; 0 for itself.
+    std::uint32_t age_ms = 0;
+};
+
+/// Liveness and offers of the sender.
+struct heartbeat
+{
+    bool is_leaving = false;
+    std::uint32_t epoch = 0;
+    std::uint32_t requests_in_flight = 0;
+    std::vector<service_credit> credits;
+    /// Other hosts, as summarised by a failure domain's readers.
+    std::vector<member_summary> members;
+};
+
+/// A re-sent request on its way to its owner.
+struct submit
+{
+    /// Chosen by the sender to match the reply.
+    std::uint64_t exchange = 0;
+    identity::request_id id;
+    std::string service;
+    std::uint32_t remaining_ms = 0;
+    std::string body;
+};
+
+/// The owner's answer to `submit`.
+struct submit_reply
+{
+    std::uint64_t exchange = 0;
+    outcome result = outcome::unresolved;
+    reason cause = reason::ok;
+    std::string answer;
+};
+
+/// An attempt that the owner has a daemon of another failure domain dispatch.
+struct relay
+{
+    identity::request_id id;
+    std::uint32_t attempt = 0;
+    std::string service;
+    std::uint32_t remaining_ms = 0;
+    /// True when the request has broken a backend server's connection before.
+    bool is_suspect = false;
+    std::string body;
+};
+
+/// The end of a relayed attempt.
+struct relay_reply
+{
+    identity::request_id id;
+    std::uint32_t attempt = 0;
+    outcome result = outcome::unresolved;
+    reason cause = reason::ok;
+    /// Backend server that the attempt reached; empty if none.
+    std::string backend_server;
+    std::string answer;
+};
+
+/// Asks for the end of a relayed attempt, and forbids its start if it has not started.
+struct relay_cancel
+{
+    identity::request_id id;
+    std::uint32_t attempt = 0;
+};
+
+/// Asks for the configuration, sent to a daemon that holds a higher version.
+struct configuration_request
+{
+};
+
+/// The whole configuration as its JSON text.
+struct configuration_document
+{
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+/// Tells all daemons that requests of this fingerprint crash backend servers.
+struct quarantine_notice
+{
+    std::uint64_t fingerprint = 0;
+    std::uint32_t remaining_ms = 0;
+    /// False releases the fingerprint.
+    bool is_quarantined = true;
+};
+
+/// Any message.
+using payload = std::variant<heartbeat,
+                             submit,
+                             submit_reply,
+                             relay,
+                             relay_reply,
+                             relay_cancel,
+                             configuration_request,
+                             configuration_document,
+                             quarantine_notice>;
+
+/// A message with what every message carries.
+struct envelope
+{
+    std::string sender;
+    std::uint64_t sender_incarnation = 0;
+    std::uint64_t configuration_version = 0;
+    /// The message is dropped by a receiver of another incarnation; 0 reaches any.
+    std::uint64_t recipient_incarnation = 0;
+    payload content;
+};
+
+} // namespace pistachiohub::messages
