--- /dev/null
+++ b/libraries/caller/connection.cpp
@@ -0,0 +1,189 @@
+#include "libraries/caller/connection.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+#include <optional>
+
+namespace pistachiohub::caller
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+/// An idle connection may have been closed by the entry host; a new one proves that it still
+/// listens.
+constexpr auto longest_idle_time = std::chrono::milliseconds(500);
+constexpr std::uint64_t answer_limit = 4U << 20U;
+
+struct open_connection
+{
+    explicit open_connection(asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    kernel::monotonic_time used_at;
+};
+
+http_request make_request(std::string const& address, exchange_request const& request)
+{
+    http_request result;
+    result.version(11);
+    result.method_string(request.method);
+    result.target(request.target);
+    result.set(http::field::host, address);
+    for (auto const& [name, value] : request.headers)
+        result.set(name, value);
+    result.body() = request.body;
+    result.prepare_payload();
+    return result;
+}
+
+exchange_result make_result(http_response const& received)
+{
+    exchange_result result;
+    result.end = exchange_end::answered;
+    result.status = received.result_int();
+    result.request_id = received["Pistachiohub-Request-Id"];
+    result.outcome = received["Pistachiohub-Outcome"];
+    result.reason = received["Pistachiohub-Reason"];
+    result.body = received.body();
+    return result;
+}
+
+exchange_result failed(exchange_end end)
+{
+    exchange_result result;
+    result.end = end;
+    return result;
+}
+
+} // namespace
+
+struct connection_pool::implementation
+{
+    using key = std::pair<std::string, std::uint16_t>;
+
+    // Runs the operation that `start` begins to its end; the stream's timer bounds it.
+    template<class Start>
+    beast::error_code wait(Start start)
+    {
+        beast::error_code result = asio::error::would_block;
+        start(
+            [&result](beast::error_code failure, auto const&...)
+            {
+                result = failure;
+            });
+        context.restart();
+        context.run();
+        return result;
+    }
+
+    std::unique_ptr<open_connection> take(key const& target)
+    {
+        auto const found = connections.find(target);
+        if (found == connections.end())
+            return nullptr;
+        auto connection = std::move(found->second);
+        connections.erase(found);
+        if (kernel::monotonic_now() - connection->used_at > longest_idle_time)
+            return nullptr;
+        return connection;
+    }
+
+    std::unique_ptr<open_connection> connect(key const& target, kernel::duration timeout)
+    {
+        beast::error_code failure;
+        auto const address = asio::ip::make_address(target.first, failure);
+        if (failure)
+            return nullptr;
+        auto connection = std::make_unique<open_connection>(context);
+        connection->stream.expires_after(timeout);
+        failure = wait(
+            [&](auto handler)
+            {
+                connection->stream.async_connect(tcp::endpoint(address, target.second), handler);
+            });
+        if (failure)
+            return nullptr;
+        connection->stream.socket().set_option(tcp::no_delay(true), failure);
+        return connection;
+    }
+
+    // Returns nothing on success.
+    std::optional<exchange_end> transfer(open_connection& connection,
+                                         http_request const& request,
+                                         http::response_parser<http::string_body>& parser)
+    {
+        auto failure = wait(
+            [&](auto handler)
+            {
+                http::async_write(connection.stream, request, handler);
+            });
+        if (!failure)
+        {
+            failure = wait(
+                [&](auto handler)
+                {
+                    http::async_read(connection.stream, connection.buffer, parser, handler);
+                });
+        }
+        if (!failure)
+            return std::nullopt;
+        return failure == beast::error::timeout ? exchange_end::timed_out : exchange_end::lost;
+    }
+
+    asio::io_context context{1};
+    std::map<key, std::unique_ptr<open_connection>> connections;
+};
+
+connection_pool::connection_pool()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+connection_pool::~connection_pool() = default;
+
+exchange_result connection_pool::exchange(std::string const& address,
+                                          std::uint16_t port,
+                                          exchange_request const& request,
+                                          kernel::duration timeout)
+{
+    auto const deadline = kernel::monotonic_now() + timeout;
+    implementation::key const target{address, port};
+    auto connection = m_implementation->take(target);
+    if (!connection)
+        connection = m_implementation->connect(target, timeout);
+    if (!connection)
+        return failed(exchange_end::never_sent);
+    auto const prepared = make_request(address, request);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(answer_limit);
+    connection->stream.expires_at(deadline);
+    if (auto const failure = m_implementation->transfer(*connection, prepared, parser))
+        return failed(*failure);
+    auto const result = make_result(parser.get());
+    if (parser.get().keep_alive())
+    {
+        connection->stream.expires_never();
+        connection->used_at = kernel::monotonic_now();
+        m_implementation->connections[target] = std::move(connection);
+    }
+    return result;
+}
+
+} // namespace pistachiohub::caller
