--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -8,3 +8,8 @@
   standins/answer.cpp standins/http_server.cpp
   standins/backend_server/backend_server.cpp standins/object_store/store.cpp
   PROPERTIES SKIP_PRECOMPILE_HEADERS ON)
+
+find_package(Python3 REQUIRED COMPONENTS Interpreter)
+add_test(NAME check_history
+  COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/check_history_test.py)
+set_tests_properties(check_history PROPERTIES TIMEOUT 120)
