--- a/libraries/caller/connection.cpp
+++ b/libraries/caller/connection.cpp
@@ -176,7 +176,7 @@
     connection->stream.expires_at(deadline);
     if (auto const failure = m_implementation->transfer(*connection, prepared, parser))
         return failed(*failure);
-    auto const result = make_result(parser.get());
+    auto result = make_result(parser.get());
     if (parser.get().keep_alive())
     {
         connection->stream.expires_never();
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -88,9 +88,8 @@
     {
         caller::caller_options result;
         result.sources = m_load.sources;
-        std::rotate(result.sources.begin(),
-                    result.sources.begin() + m_number % result.sources.size(),
-                    result.sources.end());
+        auto const first = static_cast<std::ptrdiff_t>(m_number % result.sources.size());
+        std::rotate(result.sources.begin(), result.sources.begin() + first, result.sources.end());
         if (!m_load.clients.empty())
             result.client = m_load.clients[m_number % m_load.clients.size()];
         result.seed = m_random();
