--- a/libraries/view/client_table.hpp
+++ b/libraries/view/client_table.hpp
@@ -6,6 +6,7 @@
 #include "libraries/configuration/configuration.hpp"
 #include "libraries/view/world_view.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -30,6 +31,9 @@
 make_client_table(std::span<configuration::client_block const> blocks,
                   std::span<configuration::failure_domain const> failure_domains);
 
+/// @returns the position of the range that contains `client`; 0 when the table is empty.
+[[nodiscard]] std::size_t find_range(client_table const& table, std::uint32_t client);
+
 /// @returns the failure domain for `client` (host byte order), or `no_index`.
 [[nodiscard]] index find_client(client_table const& table, std::uint32_t client);
 
--- a/libraries/view/world_view.hpp
+++ b/libraries/view/world_view.hpp
@@ -88,8 +88,16 @@
     std::vector<entry_host> entry_hosts;
     std::vector<backend_server> backend_servers;
     /// For each service times failure domain, at `service * failure_domains.size() + domain`:
-    /// indices of live entry hosts in the order in which callers are told of them.
+    /// indices of live entry hosts in the order in which callers are told of them. A list may hold
+    /// several orders; `entry_host_order_starts` says how many.
     std::vector<std::vector<index>> entry_host_order;
+    /// At the same index: number of orders in the list, so that client blocks of one failure domain
+    /// begin at different entry hosts. A list of n >= 8 orders is a ring of n hosts followed by its
+    /// first 7; with fewer, each order has 8 entries, padded with `no_index`. Empty: one order
+    /// each.
+    std::vector<std::uint32_t> entry_host_order_starts;
+    /// Indices of the entry hosts, sorted by name; empty when the view was not made by the builder.
+    std::vector<index> entry_hosts_by_name;
     /// Client blocks for longest-prefix match, sorted by `libraries/view/client_table`.
     std::shared_ptr<struct client_table const> client_blocks;
 };
--- a/plugins/limit/link_budget.hpp
+++ b/plugins/limit/link_budget.hpp
@@ -26,7 +26,8 @@
 /// Sets the rate: the link's capacity divided by the entry hosts configured in the source region.
 void set_rate(link_budget& budget, double megabits_per_second, std::size_t region_entry_hosts);
 
-/// Spends `bytes` if they are available.
+/// Spends `bytes` if they are available. A message larger than the burst needs a full bucket and
+/// leaves a debt.
 /// @returns false, with nothing spent, when they are not.
 [[nodiscard]] bool try_spend(link_budget& budget, std::size_t bytes, kernel::monotonic_time now);
 
--- a/plugins/retry/quarantine.hpp
+++ b/plugins/retry/quarantine.hpp
@@ -6,6 +6,7 @@
 #include "kernel/clock.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -34,6 +35,8 @@
 struct quarantine
 {
     std::unordered_map<std::uint64_t, suspicion> suspicions;
+    /// Fingerprints in the order of their first strike; may name some that were removed since.
+    std::deque<std::uint64_t> insertion_order;
 };
 
 /// @returns the fingerprint of a request: xxHash64 of the service's name and the body.
