membership: Ignore credits queued during a pause, add tests with seeds

Cause: the control state had no tests, and a daemon that wakes from a pause read queued heartbeats as fresh, so their credits counted for another second. Ruled out: dropping queued heartbeats altogether, because they are also the first sign of life.

--- a/plugins/membership/control_state.cpp
+++ b/plugins/membership/control_state.cpp
@@ -56,7 +56,7 @@
 {
     check_pause(now);
     std::visit(
-        [this, now](auto const& content)
+        [this, now](auto& content)
         {
             on(content, now);
         },
@@ -115,8 +115,10 @@
     return m_is_reader;
 }
 
-void control_state::on(events::peer_heard const& heard, kernel::monotonic_time now)
+void control_state::on(events::peer_heard& heard, kernel::monotonic_time now)
 {
+    if (heard.beat && may_be_queued(now))
+        heard.beat->credits.clear();
     auto const* const known = find_member(m_members, heard.sender);
     if (known == nullptr)
     {
@@ -349,6 +351,12 @@
     return beat;
 }
 
+bool control_state::may_be_queued(kernel::monotonic_time now) const
+{
+    // Right after a pause, heartbeats that arrived during the pause are read.
+    return m_active_since != m_started_at && now - m_active_since < heartbeat_interval;
+}
+
 bool control_state::has_fresh_usage(kernel::monotonic_time now) const
 {
     return m_usage_at && now - *m_usage_at <= usage_time;
--- a/plugins/membership/control_state.hpp
+++ b/plugins/membership/control_state.hpp
@@ -68,7 +68,7 @@
     [[nodiscard]] bool is_reader() const;
 
 private:
-    void on(events::peer_heard const& heard, kernel::monotonic_time now);
+    void on(events::peer_heard& heard, kernel::monotonic_time now);
     void on(events::configuration_wanted const& wanted, kernel::monotonic_time now);
     void on(events::configuration_received const& received, kernel::monotonic_time now);
     void on(events::host_list_received const& list, kernel::monotonic_time now);
@@ -89,6 +89,7 @@
               kernel::log_level level = kernel::log_level::info);
     [[nodiscard]] std::vector<std::string> find_sharing_hosts(kernel::monotonic_time now) const;
     [[nodiscard]] messages::heartbeat make_heartbeat(kernel::monotonic_time now);
+    [[nodiscard]] bool may_be_queued(kernel::monotonic_time now) const;
     [[nodiscard]] bool has_fresh_usage(kernel::monotonic_time now) const;
 
     kernel::settings m_settings;
--- /dev/null
+++ b/tests/membership/control_state_test.cpp
@@ -0,0 +1,322 @@
+#include "plugins/lookup/lookup.hpp"
+#include "tests/membership/fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using testing::fleet;
+using view::member_state;
+
+std::vector<std::string> const domains{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"};
+
+std::uint32_t total_share(fleet& hosts, std::string const& domain)
+{
+    std::uint32_t sum = 0;
+    for (auto const& name : hosts.names())
+    {
+        auto const& daemon = hosts.at(name);
+        if (daemon.is_running && daemon.settings.failure_domain == domain)
+            sum += daemon.world->backend_servers.at(0).slot_share;
+    }
+    return sum;
+}
+
+std::set<std::string> told_hosts(fleet& hosts, std::string const& observer)
+{
+    auto const& world = *hosts.at(observer).world;
+    std::set<std::string> names;
+    for (auto const host : lookup::find_entry_hosts(world, 0, std::nullopt))
+        names.insert(world.entry_hosts[host].name);
+    return names;
+}
+
+std::size_t count_notices(membership::control_state& state, std::string_view event)
+{
+    auto const notices = state.take_notices();
+    return static_cast<std::size_t>(std::count_if(notices.begin(),
+                                                  notices.end(),
+                                                  [event](membership::notice const& entry)
+                                                  {
+                                                      return entry.event == event;
+                                                  }));
+}
+
+} // namespace
+
+// A killed daemon's slots must pass to its siblings, and callers must not be sent to it.
+TEST_CASE("control_state_killed_host_is_silent_after_three_seconds", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 6));
+    fleet hosts(domains, 2, static_cast<std::uint64_t>(seed));
+    hosts.publish_configuration("a-1-h1", 1);
+    hosts.advance(3s);
+    for (auto const& observer : hosts.names())
+    {
+        for (auto const& host : hosts.names())
+            CHECK(hosts.state(observer, host) == member_state::live);
+    }
+    CHECK(total_share(hosts, "a-1") == 9);
+    hosts.kill("a-1-h2");
+    hosts.advance(2400ms);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::live);
+    hosts.advance(1200ms);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::silent);
+    CHECK(hosts.state("b-1-h1", "a-1-h2") == member_state::silent);
+    CHECK(total_share(hosts, "a-1") == 9);
+    CHECK(told_hosts(hosts, "a-1-h1").contains("a-1-h2") == false);
+}
+
+// Identifiers name the incarnation, so an old one must not come back in a lookup.
+TEST_CASE("control_state_restarted_host_replaces_incarnation", "[membership]")
+{
+    fleet hosts(domains, 1, 3);
+    hosts.advance(2s);
+    auto const known_incarnation = [&hosts]()
+    {
+        auto const& world = *hosts.at("c-1-h1").world;
+        return world.entry_hosts[view::find_entry_host(world, "a-2-h1")].incarnation;
+    };
+    auto const old_incarnation = hosts.at("a-2-h1").incarnation;
+    CHECK(known_incarnation() == old_incarnation);
+    hosts.start("a-2-h1");
+    hosts.advance(1s);
+    auto const new_incarnation = hosts.at("a-2-h1").incarnation;
+    CHECK(known_incarnation() == new_incarnation);
+    auto& state = *hosts.at("c-1-h1").state;
+    std::ignore = state.take_notices();
+    state.handle(events::peer_heard{"a-2-h1", old_incarnation, 0, messages::heartbeat{}},
+                 hosts.now());
+    CHECK(count_notices(state, "old_incarnation_heard") == 1);
+    hosts.advance(200ms);
+    CHECK(known_incarnation() == new_incarnation);
+}
+
+// A frozen daemon that wakes reads heartbeats that were queued during its pause; their credits are
+// as old as the pause.
+TEST_CASE("control_state_woken_host_takes_no_queued_credits", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 6));
+    fleet hosts(domains, 2, static_cast<std::uint64_t>(seed));
+    hosts.publish_configuration("a-1-h1", 1);
+    hosts.advance(2s);
+    auto& woken = hosts.at("a-1-h2");
+    auto const advance_with_offers = [&hosts](int steps)
+    {
+        events::usage_report report;
+        report.credits = {{"balance", 100}};
+        for (int step = 0; step < steps; ++step)
+        {
+            hosts.at("b-1-h1").state->handle(report, hosts.now());
+            hosts.advance(100ms);
+        }
+    };
+    auto const has_credit = [&woken]()
+    {
+        auto const& world = *woken.world;
+        return !world.entry_hosts[view::find_entry_host(world, "b-1-h1")].credits.empty();
+    };
+    advance_with_offers(10);
+    CHECK(has_credit());
+    woken.is_frozen = true;
+    advance_with_offers(100);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::silent);
+    hosts.kill("b-1-h1");
+    woken.is_frozen = false;
+    hosts.advance(25ms);
+    CHECK(count_notices(*woken.state, "pause_detected") == 1);
+    hosts.advance(100ms);
+    CHECK_FALSE(has_credit());
+    hosts.advance(1s);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::live);
+    CHECK(hosts.state("a-1-h2", "a-1-h1") == member_state::live);
+    CHECK(total_share(hosts, "a-1") == 9);
+}
+
+// After a pause shorter than the silence limit, states look fresh but are not. Taking the slots of
+// hosts that are about to be heard would overload the backend servers.
+TEST_CASE("control_state_woken_host_drops_states_and_keeps_its_share", "[membership]")
+{
+    fleet hosts(domains, 2, 13);
+    hosts.publish_configuration("a-1-h1", 1);
+    hosts.advance(2s);
+    auto& woken = hosts.at("a-1-h2");
+    auto const share = woken.world->backend_servers.at(0).slot_share;
+    hosts.is_connected = [](std::string const&, std::string const& recipient)
+    {
+        return recipient != "a-1-h2";
+    };
+    woken.is_frozen = true;
+    hosts.advance(1500ms);
+    woken.is_frozen = false;
+    hosts.advance(200ms);
+    CHECK(hosts.state("a-1-h2", "a-1-h1") == member_state::silent);
+    CHECK(woken.world->backend_servers.at(0).slot_share == share);
+    hosts.advance(4s);
+    CHECK(woken.world->backend_servers.at(0).slot_share == 9);
+}
+
+// Messages of an old incarnation may arrive late, directly or forwarded.
+TEST_CASE("apply_heard_old_incarnation_changes_nothing", "[membership]")
+{
+    kernel::monotonic_time const start{1h};
+    membership::member_table table;
+    membership::add_seeds(table, {{"peer", "a-1", "10.0.0.1", 2}}, start);
+    messages::heartbeat beat;
+    beat.epoch = 4;
+    using membership::change;
+    CHECK(membership::apply_heard(table, {"peer", 9, 1, beat}, start) == change::major);
+    CHECK(membership::apply_heard(table, {"peer", 8, 7, beat}, start + 1s) == change::none);
+    messages::member_summary summary{"peer", "a-1", 8, 7, true, 0};
+    CHECK(membership::apply_summary(table, summary, start + 1s) == change::none);
+    auto const& peer = table.members.at(0);
+    CHECK((peer.incarnation == 9 && peer.epoch == 4 && peer.heard_at == start));
+    summary.incarnation = 9;
+    summary.age_ms = 200;
+    CHECK(membership::apply_summary(table, summary, start + 1s) == change::major);
+    CHECK((peer.is_leaving && peer.epoch == 7 && peer.heard_at == start + 800ms));
+}
+
+// I8: versions come from the store, from peers and late; cuts heal.
+TEST_CASE("control_state_cut_and_heal_catches_up_and_never_reverts", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 11));
+    fleet hosts(domains, 2, static_cast<std::uint64_t>(seed));
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    auto const is_cut_off = [](std::string const& name)
+    {
+        return name.starts_with("c-1");
+    };
+    std::uint64_t version = 0;
+    hosts.advance(1s);
+    hosts.is_connected = [is_cut_off](std::string const& sender, std::string const& recipient)
+    {
+        return is_cut_off(sender) == is_cut_off(recipient);
+    };
+    auto const connected = std::vector<std::string>{"a-1-h1", "a-2-h2", "b-1-h1", "b-2-h2"};
+    for (int patch = 0; patch < 20; ++patch)
+    {
+        hosts.publish_configuration(connected[random() % connected.size()], ++version);
+        hosts.publish_configuration(connected[random() % connected.size()], 1 + random() % version);
+        hosts.advance(1s);
+        for (auto const& name : hosts.names())
+        {
+            auto const expected = is_cut_off(name) ? 0 : version;
+            CHECK(hosts.at(name).world->configuration->version == expected);
+        }
+    }
+    CHECK(hosts.state("a-1-h1", "c-1-h1") == member_state::silent);
+    hosts.is_connected = [](std::string const&, std::string const&)
+    {
+        return true;
+    };
+    hosts.advance(2s);
+    for (auto const& name : hosts.names())
+    {
+        CHECK(hosts.at(name).world->configuration->version == version);
+        CHECK_FALSE(hosts.at(name).has_reverted);
+    }
+    CHECK(hosts.state("a-1-h1", "c-1-h1") == member_state::live);
+}
+
+// A lagging list that calls a restarted host dead or leaving must not overrule its heartbeats.
+TEST_CASE("control_state_stale_host_list_does_not_overrule_heartbeats", "[membership]")
+{
+    fleet hosts(domains, 2, 5);
+    hosts.advance(2s);
+    auto& state = *hosts.at("a-1-h1").state;
+    events::host_list_received list;
+    list.failure_domain = "a-1";
+    list.entry_hosts.push_back({"a-1-h2", "10.0.0.1", 1, 2, 3, true});
+    state.handle(list, hosts.now());
+    hosts.advance(200ms);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::leaving);
+    hosts.start("a-1-h2");
+    hosts.advance(1s);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::live);
+    list.entry_hosts.clear();
+    state.handle(list, hosts.now());
+    hosts.advance(10s);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::live);
+}
+
+// Without readers in a domain, nobody there learns of a new configuration or host list.
+TEST_CASE("control_state_lost_readers_are_replaced", "[membership]")
+{
+    fleet hosts({"a-1", "b-1"}, 5, 7);
+    hosts.advance(8s);
+    auto const readers = [&hosts]()
+    {
+        std::vector<std::string> names;
+        for (auto const& name : hosts.names())
+        {
+            auto const& daemon = hosts.at(name);
+            bool const is_own = daemon.settings.failure_domain == "a-1";
+            if (is_own && daemon.is_running && daemon.state->is_reader())
+                names.push_back(name);
+        }
+        return names;
+    };
+    auto const before = readers();
+    CHECK(before.size() == 2);
+    for (auto const& name : before)
+        hosts.kill(name);
+    hosts.advance(8s);
+    CHECK(readers().size() == 2);
+}
+
+TEST_CASE("control_state_draining_host_leaves_lookups_at_once", "[membership]")
+{
+    fleet hosts(domains, 2, 9);
+    hosts.publish_configuration("a-1-h1", 1);
+    hosts.advance(2s);
+    CHECK(told_hosts(hosts, "a-1-h1").contains("a-1-h2"));
+    hosts.at("a-1-h2").is_draining = true;
+    hosts.advance(300ms);
+    CHECK(hosts.state("a-1-h1", "a-1-h2") == member_state::leaving);
+    CHECK_FALSE(told_hosts(hosts, "a-1-h1").contains("a-1-h2"));
+    CHECK_FALSE(told_hosts(hosts, "a-1-h2").contains("a-1-h2"));
+}
+
+// In a quiet fleet every publication makes all threads reload their view for nothing.
+TEST_CASE("control_state_quiet_fleet_publishes_rarely", "[membership]")
+{
+    fleet hosts(domains, 2, 11);
+    hosts.advance(5s);
+    auto const before = hosts.at("a-1-h1").publications;
+    hosts.advance(30s);
+    CHECK(hosts.at("a-1-h1").publications - before <= 3);
+}
+
+// Seed peers are the only way to a configuration while the store is down.
+TEST_CASE("control_state_seed_peer_is_known_before_host_list", "[membership]")
+{
+    kernel::settings settings;
+    settings.name = "own";
+    settings.failure_domain = "a-1";
+    settings.seed_peers = {{"seed", "b-1", "10.0.0.9", 7}};
+    kernel::monotonic_time const start{1h};
+    membership::control_state state(settings, 1, 0, start);
+    auto const world = state.take_view(start);
+    REQUIRE(world);
+    CHECK(world->configuration->version == 0);
+    auto const position = view::find_entry_host(*world, "seed");
+    REQUIRE(position != view::no_index);
+    CHECK(world->entry_hosts[position].peer_port == 7);
+    state.tick(false, start);
+    CHECK(state.take_commands().size() == 1);
+    state.handle(events::peer_heard{"seed", 5, 3, std::nullopt}, start);
+    auto const commands = state.take_commands();
+    REQUIRE(commands.size() == 1);
+    CHECK(std::holds_alternative<messages::configuration_request>(commands[0].content));
+}
+
+} // namespace pistachiohub
