--- /dev/null
+++ b/libraries/http/client.cpp
@@ -0,0 +1,263 @@
+#include "libraries/http/client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <atomic>
+
+namespace pistachiohub::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+using beast_request = beast::http::request<beast::http::string_body>;
+using beast_parser = beast::http::response_parser<beast::http::string_body>;
+
+beast_request to_beast(request const& wanted, std::string const& host)
+{
+    beast_request message;
+    message.version(11);
+    message.method_string(wanted.method);
+    message.target(wanted.target);
+    message.set(beast::http::field::host, host);
+    for (auto const& field : wanted.headers)
+        message.set(field.name, field.value);
+    message.body() = wanted.body;
+    message.prepare_payload();
+    return message;
+}
+
+response to_response(beast_parser::value_type&& message)
+{
+    response result;
+    result.status = message.result_int();
+    for (auto const& field : message)
+        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    result.body = std::move(message.body());
+    return result;
+}
+
+} // namespace
+
+std::optional<std::string> response::find_header(std::string_view name) const
+{
+    for (auto const& field : headers)
+    {
+        if (beast::iequals(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+struct client::implementation
+{
+    implementation(std::string server_address, std::uint16_t server_port, client_limits own_limits)
+        : address(std::move(server_address))
+        , port(server_port)
+        , limits(own_limits)
+        , stream(context)
+    {
+    }
+
+    std::string address;
+    std::uint16_t port;
+    client_limits limits;
+    asio::io_context context;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::atomic<bool> is_cancelled{false};
+
+    // Runs one asynchronous operation to its end on the calling thread. A close posted by cancel()
+    // runs here too and aborts the operation.
+    template<class Initiate>
+    boost::system::error_code await(Initiate&& initiate)
+    {
+        boost::system::error_code result;
+        initiate(result);
+        context.restart();
+        context.run();
+        return result;
+    }
+
+    void refuse_when_cancelled()
+    {
+        if (is_cancelled.load())
+            throw cancelled("the exchange with " + address + " was cancelled");
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        stream.socket().close(ignored);
+        buffer.clear();
+    }
+
+    // A server may close an idle connection; detecting that before sending keeps a request that
+    // must not be repeated from being lost.
+    [[nodiscard]] bool is_usable()
+    {
+        if (!stream.socket().is_open())
+            return false;
+        char byte = 0;
+        auto const received =
+            ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    void connect()
+    {
+        close();
+        boost::system::error_code failure;
+        auto const ip_address = asio::ip::make_address(address, failure);
+        if (failure)
+            throw never_sent(address + " is not an IP address");
+        stream.expires_after(limits.connect_timeout);
+        failure = await(
+            [&](boost::system::error_code& result)
+            {
+                stream.async_connect(asio::ip::tcp::endpoint(ip_address, port),
+                                     [&result](boost::system::error_code code)
+                                     {
+                                         result = code;
+                                     });
+            });
+        refuse_when_cancelled();
+        if (failure)
+        {
+            close();
+            throw never_sent("cannot connect to " + address + ':' + std::to_string(port) + ": " +
+                             failure.message());
+        }
+        // Small requests must not wait for the acknowledgement of an earlier one.
+        stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+    }
+
+    [[noreturn]] void fail(boost::system::error_code failure, std::string_view step)
+    {
+        close();
+        refuse_when_cancelled();
+        auto const text = std::string(step) + ' ' + address + ':' + std::to_string(port) + ": " +
+                          failure.message();
+        if (failure == beast::error::timeout)
+            throw timed_out(text);
+        throw lost_answer(text);
+    }
+
+    void write(beast_request const& message)
+    {
+        std::size_t sent = 0;
+        auto const failure = await(
+            [&](boost::system::error_code& result)
+            {
+                beast::http::async_write(
+                    stream,
+                    message,
+                    [&result, &sent](boost::system::error_code code, std::size_t bytes)
+                    {
+                        result = code;
+                        sent = bytes;
+                    });
+            });
+        if (!failure)
+            return;
+        if (sent == 0 && !is_cancelled.load())
+        {
+            close();
+            throw never_sent("cannot send to " + address + ": " + failure.message());
+        }
+        fail(failure, "sending was interrupted to");
+    }
+
+    response read()
+    {
+        beast_parser parser;
+        parser.body_limit(limits.largest_answer);
+        auto const failure = await(
+            [&](boost::system::error_code& result)
+            {
+                beast::http::async_read(stream,
+                                        buffer,
+                                        parser,
+                                        [&result](boost::system::error_code code, std::size_t)
+                                        {
+                                            result = code;
+                                        });
+            });
+        if (failure)
+            fail(failure, "no whole answer from");
+        bool const is_kept = parser.get().keep_alive();
+        auto result = to_response(parser.release());
+        if (!is_kept || buffer.size() != 0)
+            close();
+        return result;
+    }
+
+    response exchange(beast_request const& message, kernel::duration read_timeout)
+    {
+        refuse_when_cancelled();
+        if (!is_usable())
+            connect();
+        stream.expires_after(read_timeout);
+        write(message);
+        return read();
+    }
+};
+
+client::client(std::string address, std::uint16_t port, client_limits limits)
+    : m_implementation(std::make_unique<implementation>(std::move(address), port, limits))
+{
+}
+
+client::~client() = default;
+
+response client::send(request const& wanted)
+{
+    return send(wanted, m_implementation->limits.read_timeout);
+}
+
+response client::send(request const& wanted, kernel::duration read_timeout)
+{
+    auto& own = *m_implementation;
+    auto const message = to_beast(wanted, own.address + ':' + std::to_string(own.port));
+    bool const may_repeat = wanted.method == "GET" && own.is_usable();
+    try
+    {
+        return own.exchange(message, read_timeout);
+    }
+    catch (timed_out const&)
+    {
+        throw;
+    }
+    catch (cancelled const&)
+    {
+        throw;
+    }
+    catch (http_error const&)
+    {
+        if (!may_repeat)
+            throw;
+    }
+    return own.exchange(message, read_timeout);
+}
+
+void client::cancel()
+{
+    m_implementation->is_cancelled.store(true);
+    asio::post(m_implementation->context,
+               [own = m_implementation.get()]()
+               {
+                   own->close();
+               });
+}
+
+} // namespace pistachiohub::http
