--- /dev/null
+++ b/plugins/store/settlement_flush.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// Pure rules of writing the settlement by conditional updates.
+
+#include "kernel/clock.hpp"
+#include "libraries/object_store/object_store.hpp"
+#include "plugins/store/settlement_ledger.hpp"
+
+#include <optional>
+
+namespace pistachiohub::store
+{
+
+/// Shortest time between two writes of the settlement.
+inline constexpr auto settlement_interval = std::chrono::seconds(1);
+
+/// A conditional update that is due.
+struct due_write
+{
+    std::uint64_t expected_version = 0;
+    std::string text;
+};
+
+/// Decides when the settlement is written and what an answer of the store means.
+///
+/// The text is cumulative, so a write that is repeated because its answer was lost counts once.
+class settlement_flush
+{
+public:
+    explicit settlement_flush(settlement_ledger& counters);
+
+    /// @returns the write that is due, or nothing.
+    [[nodiscard]] std::optional<due_write> next_write(kernel::monotonic_time now);
+
+    /// @returns true when the object must be read before the next write.
+    [[nodiscard]] bool must_read_back(kernel::monotonic_time now) const;
+
+    void
+    on_write(object_store::write_result const& result, kernel::monotonic_time now, double random);
+    void on_read_back(object_store::read_result const& result,
+                      kernel::monotonic_time now,
+                      double random);
+
+    /// Makes the next write due at once unless the store is failing; used before the daemon exits.
+    void hurry();
+
+    /// @returns true when the store holds all counts.
+    [[nodiscard]] bool is_written() const;
+
+    /// @returns when to call next_write() or must_read_back() again, or nothing.
+    [[nodiscard]] std::optional<kernel::monotonic_time> next_due() const;
+
+private:
+    void delay(kernel::monotonic_time now, double random);
+    void accept(std::uint64_t version, kernel::monotonic_time now);
+
+    settlement_ledger& m_ledger;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_flush = 0;
+    std::uint64_t m_written_generation = 0;
+    std::uint64_t m_attempted_generation = 0;
+    std::size_t m_attempted_size = 0;
+    bool m_is_in_doubt = false;
+    unsigned m_failures = 0;
+    kernel::monotonic_time m_not_before;
+};
+
+} // namespace pistachiohub::store
