front: Add the caller port

Cause: callers need lookups and requests over HTTP/1.1, and each malformed request must be a typed, counted refusal that neither ends nor stalls the daemon. Ruled out: a JSON document for lookup answers, because the text is short and assembled faster by hand.

--- /dev/null
+++ b/plugins/front/caller_server.cpp
@@ -0,0 +1,444 @@
+#include "plugins/front/caller_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sstream>
+#include <unordered_map>
+#include <utility>
+
+namespace pistachiohub::front
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t first_read_size = 4096;
+// A body and the header block of a pipelined request that follows it.
+constexpr std::size_t largest_buffer = largest_body + 2 * std::size_t{largest_header_block};
+// Time and bytes for which a refused caller's unread input is discarded. Closing a socket with
+// unread input resets the connection, which can destroy the refusal before the caller reads it.
+constexpr auto linger_time = std::chrono::milliseconds(1000);
+constexpr std::size_t largest_discarded_input = std::size_t{4} * 1024 * 1024;
+// Pause after a failed accept, for example when no file descriptor is left.
+constexpr auto accept_pause = std::chrono::milliseconds(100);
+
+std::string_view view_of(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+void add_occurrence(header_value& value, beast::string_view text)
+{
+    value.text = view_of(text);
+    ++value.occurrences;
+}
+
+request_head make_head(http::request<http::string_body> const& request)
+{
+    request_head head;
+    head.method = view_of(request.method_string());
+    head.target = view_of(request.target());
+    for (auto const& field : request)
+    {
+        auto const name = field.name_string();
+        if (beast::iequals(name, "Pistachiohub-Request-Id"))
+            add_occurrence(head.request_id, field.value());
+        else if (beast::iequals(name, "Pistachiohub-Deadline-Ms"))
+            add_occurrence(head.deadline_ms, field.value());
+        else if (beast::iequals(name, "Pistachiohub-Transmission"))
+            add_occurrence(head.transmission, field.value());
+    }
+    return head;
+}
+
+http::response<http::string_body> make_response(caller_answer&& answer, bool is_keep_alive)
+{
+    constexpr unsigned http_1_1 = 11;
+    http::response<http::string_body> response(http::int_to_status(answer.status), http_1_1);
+    response.set(http::field::content_type,
+                 answer.is_json ? "application/json" : "application/octet-stream");
+    if (answer.has_outcome)
+    {
+        auto const result = to_string(answer.result);
+        auto const cause = to_string(answer.cause);
+        response.set("Pistachiohub-Request-Id", answer.request_id);
+        response.set("Pistachiohub-Outcome", {result.data(), result.size()});
+        response.set("Pistachiohub-Reason", {cause.data(), cause.size()});
+    }
+    response.keep_alive(is_keep_alive);
+    response.body() = std::move(answer.body);
+    response.prepare_payload();
+    return response;
+}
+
+// Returns nothing when the failure is of the connection and not of the request's form.
+std::optional<refusal> refusal_of(error_code failure)
+{
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
+        return refusal{
+            reason::header_too_large, "the header block exceeds 8192 bytes", std::nullopt};
+    if (failure == http::error::body_limit)
+        return refusal{reason::body_too_large, "the body exceeds 65536 bytes", std::nullopt};
+    bool const is_form = failure.category() == make_error_code(http::error::bad_method).category();
+    bool const is_end =
+        failure == http::error::end_of_stream || failure == http::error::partial_message;
+    if (!is_form || is_end)
+        return std::nullopt;
+    return refusal{reason::malformed_http, "the request is not valid HTTP/1.1", std::nullopt};
+}
+
+class session;
+
+} // namespace
+
+struct caller_server::implementation : std::enable_shared_from_this<implementation>
+{
+    implementation(kernel::event_loop& loop,
+                   kernel::metrics& metrics,
+                   caller_server_limits const& server_limits,
+                   request_handler handler)
+        : counters(&metrics)
+        , limits(server_limits)
+        , handle(std::move(handler))
+        , acceptor(loop.context())
+        , accept_timer(loop.context())
+    {
+    }
+
+    void listen(std::string const& address, std::uint16_t port);
+    void accept();
+    void start_session(tcp::socket&& socket);
+    void count_closed(std::string_view cause) const;
+
+    kernel::metrics* counters;
+    caller_server_limits limits;
+    request_handler handle;
+    tcp::acceptor acceptor;
+    asio::steady_timer accept_timer;
+    std::unordered_map<std::uint64_t, std::weak_ptr<session>> waiting;
+    std::uint64_t last_exchange = 0;
+    std::size_t connections = 0;
+    std::size_t writes = 0;
+    std::uint16_t listening_port = 0;
+};
+
+namespace
+{
+
+/// One connection of a caller; it handles one request at a time.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    using server = caller_server::implementation;
+
+    session(std::shared_ptr<server> owner, tcp::socket&& socket)
+        : m_server(std::move(owner))
+        , m_stream(std::move(socket))
+        , m_buffer(largest_buffer)
+    {
+        ++m_server->connections;
+    }
+
+    ~session()
+    {
+        --m_server->connections;
+    }
+
+    session(session const&) = delete;
+    session& operator=(session const&) = delete;
+
+    void read_next()
+    {
+        if (m_buffer.size() > 0)
+            return read_request();
+        m_stream.expires_after(m_server->limits.idle);
+        m_stream.async_read_some(m_buffer.prepare(first_read_size),
+                                 [self = shared_from_this()](error_code failure, std::size_t bytes)
+                                 {
+                                     if (failure)
+                                         return self->close_after(failure, "idle");
+                                     self->m_buffer.commit(bytes);
+                                     self->read_request();
+                                 });
+    }
+
+    void reply(caller_answer&& answer)
+    {
+        m_exchange = 0;
+        // Ends the wait for the caller's end of connection.
+        error_code ignored;
+        m_stream.socket().cancel(ignored);
+        write(std::move(answer));
+    }
+
+private:
+    void read_request()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(largest_header_block);
+        m_parser->body_limit(largest_body);
+        m_stream.expires_after(m_server->limits.read);
+        http::async_read(m_stream,
+                         m_buffer,
+                         *m_parser,
+                         [self = shared_from_this()](error_code failure, std::size_t)
+                         {
+                             if (failure)
+                                 self->refuse(failure);
+                             else
+                                 self->handle_request();
+                         });
+    }
+
+    void refuse(error_code failure)
+    {
+        auto const refused = refusal_of(failure);
+        if (!refused)
+            return close_after(failure, "slow_request");
+        count_refusal(*m_server->counters, refused->cause);
+        m_is_keep_alive = false;
+        write(make_refusal(*refused));
+    }
+
+    void handle_request()
+    {
+        m_is_keep_alive = m_parser->keep_alive();
+        auto request = m_parser->release();
+        auto const exchange = ++m_server->last_exchange;
+        auto answer = m_server->handle(exchange, make_head(request), std::move(request.body()));
+        if (answer)
+            return write(std::move(*answer));
+        m_exchange = exchange;
+        m_server->waiting.emplace(exchange, weak_from_this());
+        watch_for_end(exchange);
+    }
+
+    // While the request runs, input means either a pipelined request, which waits, or the end.
+    void watch_for_end(std::uint64_t exchange)
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this(), exchange](error_code failure)
+            {
+                if (self->m_exchange != exchange)
+                    return;
+                error_code unavailable;
+                if (!failure && self->m_stream.socket().available(unavailable) > 0 && !unavailable)
+                    return;
+                self->m_exchange = 0;
+                self->m_server->waiting.erase(exchange);
+                self->m_server->count_closed("caller_gone");
+                self->close();
+            });
+    }
+
+    void write(caller_answer&& answer)
+    {
+        m_response.emplace(make_response(std::move(answer), m_is_keep_alive));
+        m_stream.expires_after(m_server->limits.write);
+        ++m_server->writes;
+        http::async_write(m_stream,
+                          *m_response,
+                          [self = shared_from_this()](error_code failure, std::size_t)
+                          {
+                              --self->m_server->writes;
+                              self->m_response.reset();
+                              if (failure)
+                                  self->close_after(failure, "slow_reader");
+                              else if (self->m_is_keep_alive)
+                                  self->read_next();
+                              else
+                                  self->linger();
+                          });
+    }
+
+    void linger()
+    {
+        error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_stream.expires_after(linger_time);
+        m_buffer.clear();
+        discard(0);
+    }
+
+    void discard(std::size_t discarded)
+    {
+        m_stream.async_read_some(
+            m_buffer.prepare(first_read_size),
+            [self = shared_from_this(), discarded](error_code failure, std::size_t bytes)
+            {
+                if (!failure && discarded + bytes < largest_discarded_input)
+                    self->discard(discarded + bytes);
+                else
+                    self->close();
+            });
+    }
+
+    void close_after(error_code failure, std::string_view timeout_cause)
+    {
+        bool const is_timeout = failure == beast::error::timeout;
+        m_server->count_closed(is_timeout ? timeout_cause : "caller_closed");
+        close();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    std::shared_ptr<server> m_server;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::response<http::string_body>> m_response;
+    std::uint64_t m_exchange = 0;
+    bool m_is_keep_alive = false;
+};
+
+// Sends a refusal without waiting, so that a flood of connections costs no memory.
+void refuse_connection(tcp::socket& socket)
+{
+    refusal const refused{reason::daemon_overloaded, "too many connections are open", std::nullopt};
+    auto const response = make_response(make_refusal(refused), false);
+    std::ostringstream text;
+    text << response;
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text.str()), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+} // namespace
+
+void caller_server::implementation::listen(std::string const& address, std::uint16_t port)
+{
+    constexpr int backlog = 1024;
+    try
+    {
+        tcp::endpoint const own(asio::ip::make_address(address), port);
+        acceptor.open(own.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(own);
+        acceptor.listen(backlog);
+        listening_port = acceptor.local_endpoint().port();
+    }
+    catch (boost::system::system_error const& failure)
+    {
+        throw listen_error(address, port, failure.code().message());
+    }
+}
+
+void caller_server::implementation::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](error_code failure, tcp::socket socket)
+        {
+            if (failure == asio::error::operation_aborted)
+                return;
+            if (!failure)
+            {
+                self->start_session(std::move(socket));
+                return self->accept();
+            }
+            self->count_closed("accept_failed");
+            self->accept_timer.expires_after(accept_pause);
+            self->accept_timer.async_wait(
+                [self](error_code stopped)
+                {
+                    if (!stopped && self->acceptor.is_open())
+                        self->accept();
+                });
+        });
+}
+
+void caller_server::implementation::start_session(tcp::socket&& socket)
+{
+    if (connections >= limits.most_connections)
+    {
+        count_refusal(*counters, reason::daemon_overloaded);
+        count_closed("too_many_connections");
+        refuse_connection(socket);
+        return;
+    }
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<session>(shared_from_this(), std::move(socket))->read_next();
+}
+
+void caller_server::implementation::count_closed(std::string_view cause) const
+{
+    counters->find_counter("pistachiohub_front_connections_closed_total", {"reason", cause})
+        .increment();
+}
+
+listen_error::listen_error(std::string const& address, std::uint16_t port, std::string const& cause)
+    : error("cannot listen for callers on " + address + " port " + std::to_string(port) + ": " +
+            cause)
+{
+}
+
+void count_refusal(kernel::metrics& counters, reason cause)
+{
+    counters.find_counter("pistachiohub_front_refusals_total", {"reason", to_string(cause)})
+        .increment();
+}
+
+caller_server::caller_server(kernel::event_loop& loop,
+                             kernel::metrics& counters,
+                             std::string const& address,
+                             std::uint16_t port,
+                             caller_server_limits const& limits,
+                             request_handler handle)
+    : m_implementation(std::make_shared<implementation>(loop, counters, limits, std::move(handle)))
+{
+    m_implementation->listen(address, port);
+    m_implementation->accept();
+}
+
+caller_server::~caller_server()
+{
+    stop_accepting();
+}
+
+bool caller_server::complete(std::uint64_t exchange, caller_answer&& answer)
+{
+    auto const found = m_implementation->waiting.find(exchange);
+    if (found == m_implementation->waiting.end())
+        return false;
+    auto const waiting = found->second.lock();
+    m_implementation->waiting.erase(found);
+    if (!waiting)
+        return false;
+    waiting->reply(std::move(answer));
+    return true;
+}
+
+std::uint16_t caller_server::port() const
+{
+    return m_implementation->listening_port;
+}
+
+void caller_server::stop_accepting()
+{
+    error_code ignored;
+    m_implementation->acceptor.close(ignored);
+    m_implementation->accept_timer.cancel();
+}
+
+bool caller_server::is_idle() const
+{
+    return m_implementation->waiting.empty() && m_implementation->writes == 0;
+}
+
+} // namespace pistachiohub::front
