front: Spread lookups over the entry hosts of a failure domain

Cause: each entry host may use only its own share of a backend server's slots, and callers use the first host of a lookup answer, so a fixed first host leaves the shares of the others idle. Ruled out: a fixed order for each client block, because a failure domain with few client blocks is uneven. Successive lookups begin at different entry hosts.

--- a/plugins/front/answer_builder.cpp
+++ b/plugins/front/answer_builder.cpp
@@ -140,10 +140,11 @@
 
 std::string make_lookup_json(view::world_view const& world,
                              view::index service,
-                             std::optional<std::uint32_t> client)
+                             std::optional<std::uint32_t> client,
+                             std::uint64_t spread)
 {
     auto const& described = world.configuration->services[service];
-    auto const hosts = lookup::find_entry_hosts(world, service, client);
+    auto const hosts = lookup::find_entry_hosts(world, service, client, spread);
     std::string json;
     json.reserve((hosts.size() + 1) * expected_host_length);
     json += "{\"service\":";
@@ -166,7 +167,8 @@
     return json;
 }
 
-caller_answer answer_lookup(view::world_view const* world, lookup_query const& query)
+caller_answer
+answer_lookup(view::world_view const* world, lookup_query const& query, std::uint64_t spread)
 {
     if (world == nullptr)
         return make_refusal(not_ready(), true);
@@ -175,7 +177,7 @@
         return make_refusal(unknown_service(), true);
     caller_answer answer;
     answer.status = status_ok;
-    answer.body = make_lookup_json(*world, service, query.client);
+    answer.body = make_lookup_json(*world, service, query.client, spread);
     return answer;
 }
 
@@ -217,7 +219,8 @@
     return refused;
 }
 
-caller_answer make_reply(view::world_view const* world, events::front_reply&& reply)
+caller_answer
+make_reply(view::world_view const* world, events::front_reply&& reply, std::uint64_t spread)
 {
     caller_answer answer;
     answer.has_outcome = true;
@@ -236,7 +239,7 @@
     {
         auto const service = view::find_service(*world, reply.service);
         if (service != view::no_index)
-            lookup = make_lookup_json(*world, service, std::nullopt);
+            lookup = make_lookup_json(*world, service, std::nullopt, spread);
     }
     answer.body = make_error_json(reply.result, reply.cause, message_of(reply.result), lookup);
     return answer;
--- a/plugins/front/answer_builder.hpp
+++ b/plugins/front/answer_builder.hpp
@@ -30,14 +30,18 @@
     bool is_json = true;
 };
 
+/// @param spread see lookup::find_entry_hosts.
 /// @returns the JSON lookup answer for a service of the configuration.
 [[nodiscard]] std::string make_lookup_json(view::world_view const& world,
                                            view::index service,
-                                           std::optional<std::uint32_t> client);
+                                           std::optional<std::uint32_t> client,
+                                           std::uint64_t spread);
 
 /// Answers a lookup; an unknown service is refused.
 /// @param world the published view, or null before the first publication.
-[[nodiscard]] caller_answer answer_lookup(view::world_view const* world, lookup_query const& query);
+/// @param spread see lookup::find_entry_hosts.
+[[nodiscard]] caller_answer
+answer_lookup(view::world_view const* world, lookup_query const& query, std::uint64_t spread);
 
 /// Builds the answer to a request that is refused by its syntax or for want of a view.
 /// @param is_lookup true for `GET /v1/lookup`, whose unknown service has a status of its own.
@@ -51,6 +55,8 @@
 
 /// Builds the answer that the forward duty decided on.
 /// @param world the published view for the fresh lookup, or null.
-[[nodiscard]] caller_answer make_reply(view::world_view const* world, events::front_reply&& reply);
+/// @param spread see lookup::find_entry_hosts.
+[[nodiscard]] caller_answer
+make_reply(view::world_view const* world, events::front_reply&& reply, std::uint64_t spread);
 
 } // namespace pistachiohub::front
--- a/plugins/front/front_duty.cpp
+++ b/plugins/front/front_duty.cpp
@@ -87,7 +87,7 @@
         return refuse(*refused);
     if (auto const* const submitted = std::get_if<submission>(&parsed))
         return submit(exchange, *submitted, std::move(body));
-    auto answer = answer_lookup(m_world.get(), std::get<lookup_query>(parsed));
+    auto answer = answer_lookup(m_world.get(), std::get<lookup_query>(parsed), ++m_spread);
     if (answer.has_outcome)
         count_refusal(m_context.own_metrics(), answer.cause);
     else
@@ -131,7 +131,7 @@
         return count("pistachiohub_front_mismatched_replies_total");
     auto const exchange = reply.exchange;
     m_exchanges.erase(found);
-    if (!m_server.complete(exchange, make_reply(m_world.get(), std::move(reply))))
+    if (!m_server.complete(exchange, make_reply(m_world.get(), std::move(reply), ++m_spread)))
         count("pistachiohub_front_late_replies_total");
 }
 
@@ -150,7 +150,7 @@
         reply.cause = reason::deadline;
         if (entry->second.id)
             reply.id = *entry->second.id;
-        auto answer = make_reply(nullptr, std::move(reply));
+        auto answer = make_reply(nullptr, std::move(reply), 0);
         if (!entry->second.id)
             answer.request_id.clear();
         if (m_server.complete(entry->first, std::move(answer)))
--- a/plugins/front/front_duty.hpp
+++ b/plugins/front/front_duty.hpp
@@ -58,6 +58,9 @@
     kernel::event_loop m_loop;
     caller_server m_server;
     kernel::counter m_lookups;
+    // Callers use the first entry host, and each entry host has an equal share of the slots, so
+    // successive lookups begin at different hosts.
+    std::uint64_t m_spread = 0;
 };
 
 } // namespace pistachiohub::front
