forward: Add the request coordinator and its duty

Ruled out: one queue over all services, because a saturated service would be searched through at every event; it is kept in one group for each service. A retry budget charged when a request is queued, because requests that find no other backend server would use it up. Before / after: no forward duty; a coordinator of pure functions over one struct, and a duty that feeds it and carries out its actions. kernel/log.hpp gains log_fields() for fields known only at run time.

--- a/kernel/log.cpp
+++ b/kernel/log.cpp
@@ -68,6 +68,14 @@
                std::string_view area,
                std::string_view event,
                std::initializer_list<log_field> fields)
+{
+    log_fields(level, area, event, std::span(fields.begin(), fields.size()));
+}
+
+void log_fields(log_level level,
+                std::string_view area,
+                std::string_view event,
+                std::span<log_field const> fields)
 {
     auto const logger = log4cxx::Logger::getLogger(std::string(area));
     auto const native_level = to_log4cxx(level);
--- a/kernel/log.hpp
+++ b/kernel/log.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -53,4 +54,10 @@
                std::string_view event,
                std::initializer_list<log_field> fields = {});
 
+/// Writes the line of log_event() with fields that are known only at run time.
+void log_fields(log_level level,
+                std::string_view area,
+                std::string_view event,
+                std::span<log_field const> fields);
+
 } // namespace pistachiohub::kernel
--- /dev/null
+++ b/plugins/forward/placement.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+/// @file
+/// Starts attempts: takes requests out of the waiting queue when there is a place for them.
+
+#include "plugins/forward/request_table.hpp"
+
+namespace pistachiohub::forward
+{
+
+struct step;
+
+/// Requests of one service that may be passed over in one search because only they cannot start
+/// now: they have been tried elsewhere, or must run alone.
+inline constexpr std::size_t most_passed_over = 8;
+
+/// Puts a request into the waiting queue. When that is full, the last in order is refused.
+void enqueue(step& current, request& subject);
+
+/// Starts every waiting request for which there is a place.
+void start_waiting(step& current);
+
+} // namespace pistachiohub::forward
--- /dev/null
+++ b/plugins/forward/waiting_queue.cpp
@@ -0,0 +1,47 @@
+#include "plugins/forward/waiting_queue.hpp"
+
+#include <cassert>
+
+namespace pistachiohub::forward
+{
+
+namespace
+{
+
+waiting_key key_of(request const& subject)
+{
+    return {subject.kind == configuration::service_kind::at_most_once ? 0 : 1, subject.service};
+}
+
+} // namespace
+
+void push(waiting_queue& queue, request& subject)
+{
+    auto& group = queue.groups[key_of(subject)];
+    [[maybe_unused]] auto const is_new =
+        group.emplace(std::pair(subject.deadline, subject.sequence), &subject).second;
+    assert(is_new);
+    subject.phase = request_phase::queued;
+    ++queue.size;
+}
+
+void remove(waiting_queue& queue, request& subject)
+{
+    assert(subject.phase == request_phase::queued);
+    auto const group = queue.groups.find(key_of(subject));
+    assert(group != queue.groups.end());
+    group->second.erase({subject.deadline, subject.sequence});
+    if (group->second.empty())
+        queue.groups.erase(group);
+    subject.phase = request_phase::running;
+    --queue.size;
+}
+
+request* find_excess(waiting_queue const& queue)
+{
+    if (queue.size <= most_queued)
+        return nullptr;
+    return queue.groups.rbegin()->second.rbegin()->second;
+}
+
+} // namespace pistachiohub::forward
