forward: Test the coordinator by rule and by random schedules

Cause: nothing showed that the coordinator keeps rules R1 to R6 and that its duty reports failed pushes. Ruled out: a check of the schedules against the coordinator's own records; it would share the faults that it looks for. The checks count runs at the simulated backend servers and compare them with what callers were told.

--- /dev/null
+++ b/tests/forward/attempts_test.cpp
@@ -0,0 +1,229 @@
+#include "tests/forward/fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace pistachiohub::forward_test
+{
+
+using events::attempt_end;
+using events::dispatch_attempt;
+using events::front_reply;
+
+namespace
+{
+
+/// A fixture with enough retry budget for several retries.
+struct attempts_fixture : fixture
+{
+    attempts_fixture()
+    {
+        for (auto const* const service : {"look", "lock", "order"})
+            state.services[service].retries.tokens = 5;
+    }
+
+    dispatch_attempt start(std::string_view service, std::string_view body = "body")
+    {
+        request(service, "id-" + std::to_string(next_exchange), body);
+        return only<dispatch_attempt>().value();
+    }
+
+    void end(dispatch_attempt const& dispatch, attempt_end how)
+    {
+        handle(events::attempt_result{dispatch.dispatch, how, {}});
+    }
+
+    void cancel(dispatch_attempt const& dispatch, bool is_cancelled)
+    {
+        handle(events::cancel_result{dispatch.dispatch, is_cancelled});
+    }
+};
+
+} // namespace
+
+// A refusal before start is proof, so that the request may run elsewhere, but not on the server
+// that has just refused it.
+TEST_CASE_METHOD(attempts_fixture, "refused_attempt_is_retried_on_another_server", "[forward]")
+{
+    auto const how = GENERATE(attempt_end::refused, attempt_end::never_sent);
+    world.entry_hosts.resize(1);
+    auto const first = start("lock");
+    end(first, how);
+    auto const second = only<dispatch_attempt>();
+    REQUIRE(second.has_value());
+    CHECK(second->attempt == 2);
+    CHECK(second->backend_server != first.backend_server);
+    end(*second, how);
+    CHECK(all<dispatch_attempt>().empty());
+    CHECK(settled(*this, outcome::not_run));
+    CHECK(state.servers.usage[first.backend_server].in_flight == 0);
+}
+
+// During an outage retries without a budget would multiply the load.
+TEST_CASE_METHOD(attempts_fixture, "retry_without_budget_ends_request", "[forward]")
+{
+    state.services["lock"].retries.tokens = 0;
+    end(start("lock"), attempt_end::refused);
+    CHECK(all<dispatch_attempt>().empty());
+    CHECK(replied(*this, outcome::not_run, reason::retry_budget));
+}
+
+// A broken connection proves nothing: without proof the request must not run again (R3, I5).
+TEST_CASE_METHOD(attempts_fixture, "broken_at_most_once_waits_for_proof", "[forward]")
+{
+    auto const first = start("lock");
+    end(first, attempt_end::broken);
+    CHECK(only<events::cancel_attempt>().has_value());
+    CHECK(all<dispatch_attempt>().empty());
+    SECTION("proof")
+    {
+        cancel(first, true);
+        CHECK(only<dispatch_attempt>().has_value());
+    }
+    SECTION("no_proof")
+    {
+        cancel(first, false);
+        CHECK(all<dispatch_attempt>().empty());
+        CHECK(replied(*this, outcome::unresolved, reason::connection_broken));
+        CHECK(settled(*this, outcome::unresolved));
+    }
+    SECTION("no_reply")
+    {
+        pass(5s);
+        CHECK(replied(*this, outcome::unresolved, reason::deadline));
+        cancel(first, true);
+        CHECK(all<dispatch_attempt>().empty());
+        CHECK(settled(*this, outcome::not_run, true));
+    }
+}
+
+TEST_CASE_METHOD(attempts_fixture, "broken_idempotent_is_retried_alone_at_once", "[forward]")
+{
+    auto const first = start("look");
+    end(first, attempt_end::broken);
+    auto const second = only<dispatch_attempt>();
+    REQUIRE(second.has_value());
+    CHECK(second->backend_server != first.backend_server);
+    CHECK(state.servers.usage[second->backend_server].is_exclusive);
+    start("look", "unrelated");
+    CHECK(only<dispatch_attempt>()->backend_server == first.backend_server);
+    handle(events::attempt_result{second->dispatch, attempt_end::answered, "answer"});
+    CHECK(replied(*this, outcome::ran, reason::ok));
+    CHECK_FALSE(state.servers.usage[second->backend_server].is_exclusive);
+}
+
+// An idempotent request whose first attempt may have run cannot be told `not_run` (I4).
+TEST_CASE_METHOD(attempts_fixture, "broken_idempotent_without_budget_is_unresolved", "[forward]")
+{
+    state.services["look"].retries.tokens = 0;
+    auto const first = start("look");
+    end(first, attempt_end::broken);
+    CHECK(replied(*this, outcome::unresolved, reason::retry_budget));
+    cancel(first, true);
+    CHECK(settled(*this, outcome::not_run, true));
+}
+
+// A request that crashes servers would take down all of them, one retry at a time.
+TEST_CASE_METHOD(attempts_fixture, "second_break_quarantines_and_tells_all", "[forward]")
+{
+    auto const first = start("look", "bad");
+    end(first, attempt_end::broken);
+    end(only<dispatch_attempt>().value(), attempt_end::broken);
+    CHECK(all<dispatch_attempt>().empty());
+    CHECK(replied(*this, outcome::unresolved, reason::quarantined));
+    auto const notices = all<messages::quarantine_notice>();
+    CHECK(notices.size() == 2);
+    for (auto const& command : all<events::peer_command>())
+        CHECK(command.recipient != "own");
+    request("look", "again", "bad");
+    CHECK(replied(*this, outcome::not_run, reason::quarantined));
+    handle(events::quarantine_release{retry::fingerprint("look", "bad")});
+    CHECK(all<messages::quarantine_notice>().size() == 2);
+    request("look", "third", "bad");
+    CHECK(only<dispatch_attempt>().has_value());
+}
+
+TEST_CASE_METHOD(attempts_fixture, "notice_of_other_daemon_quarantines_here", "[forward]")
+{
+    receive("sibling",
+            peer_incarnation,
+            messages::quarantine_notice{retry::fingerprint("lock", "bad"), 600000, true});
+    CHECK(all<events::peer_command>().empty());
+    request("lock", "one", "bad");
+    CHECK(replied(*this, outcome::not_run, reason::quarantined));
+}
+
+// An answer that comes after the deadline settles the id; the caller was not told a falsehood.
+TEST_CASE_METHOD(attempts_fixture, "running_attempt_at_deadline_is_settled_later", "[forward]")
+{
+    auto const first = start("lock");
+    auto const by_event = GENERATE(true, false);
+    if (by_event)
+        end(first, attempt_end::deadline);
+    else
+        pass(5s);
+    CHECK(replied(*this, outcome::unresolved, reason::deadline));
+    CHECK(only<events::cancel_attempt>().has_value());
+    CHECK(settled(*this, outcome::unresolved));
+    SECTION("late_answer")
+    {
+        handle(events::attempt_result{first.dispatch, attempt_end::answered, "late"});
+        CHECK(settled(*this, outcome::ran, true));
+        request("lock", first.id.unique);
+        CHECK(only<front_reply>()->answer == "late");
+    }
+    SECTION("cancelled")
+    {
+        cancel(first, true);
+        CHECK(settled(*this, outcome::not_run, true));
+        request("lock", first.id.unique);
+        CHECK(replied(*this, outcome::not_run, reason::cancelled));
+        CHECK(all<dispatch_attempt>().empty());
+    }
+    SECTION("silence")
+    {
+        cancel(first, false);
+        CHECK(state.servers.usage[first.backend_server].in_flight == 1);
+        pass(forward::follow_up_time + 6s);
+        CHECK(state.servers.usage[first.backend_server].in_flight == 0);
+        CHECK(state.requests.timers.empty());
+        CHECK(all<events::settle_request>().empty());
+    }
+}
+
+// A request that waits past its deadline has proof of not having run.
+TEST_CASE_METHOD(attempts_fixture, "queued_request_at_deadline_is_not_run", "[forward]")
+{
+    for (int number = 0; number < 4; ++number)
+        start("lock");
+    request("lock", "waiting", "body", 1s);
+    CHECK(all<dispatch_attempt>().empty());
+    CHECK(state.queue.size == 1);
+    pass(1s);
+    CHECK(replied(*this, outcome::not_run, reason::queue_deadline));
+    CHECK(state.queue.size == 0);
+    request("lock", "waiting");
+    CHECK(replied(*this, outcome::not_run, reason::queue_deadline));
+}
+
+TEST_CASE_METHOD(attempts_fixture, "freed_slot_starts_waiting_request", "[forward]")
+{
+    auto const first = start("lock");
+    for (int number = 0; number < 3; ++number)
+        start("lock");
+    request("lock", "waiting");
+    handle(events::attempt_result{first.dispatch, attempt_end::answered, "answer"});
+    REQUIRE(only<dispatch_attempt>().has_value());
+    CHECK(only<dispatch_attempt>()->id == own_id("waiting"));
+    CHECK(only<dispatch_attempt>()->backend_server == first.backend_server);
+}
+
+// A service without any backend server would let callers wait for nothing.
+TEST_CASE_METHOD(attempts_fixture, "no_backend_server_anywhere_is_refused", "[forward]")
+{
+    remove_servers("lock");
+    world.entry_hosts.resize(1);
+    request("lock", "one");
+    CHECK(replied(*this, outcome::not_run, reason::no_backend_server));
+}
+
+} // namespace pistachiohub::forward_test
--- /dev/null
+++ b/tests/forward/schedule.cpp
@@ -0,0 +1,565 @@
+#include "tests/forward/schedule.hpp"
+
+#include "tests/forward/fixture.hpp"
+#include "tests/forward/simulated_servers.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace pistachiohub::forward_test
+{
+
+namespace
+{
+
+constexpr std::size_t daemon_count = 4;
+constexpr std::size_t request_count = 150;
+constexpr auto fault_time = 15s;
+constexpr auto whole_time = 60s;
+/// Short epochs, so that a schedule passes over the whole retention.
+constexpr auto epoch_length = 2s;
+constexpr std::string_view again = "_again";
+
+struct simulated_daemon
+{
+    std::string name;
+    view::index failure_domain = 0;
+    bool is_up = false;
+    kernel::monotonic_time frozen_until;
+    kernel::monotonic_time started_at;
+    std::unique_ptr<forward::coordinator> state;
+    view::world_view world;
+    std::array<kernel::monotonic_time, daemon_count> heard_at{};
+};
+
+struct simulated_journal
+{
+    bool is_closed = false;
+    std::map<std::string, std::optional<outcome>> entries;
+};
+
+struct call
+{
+    std::string id;
+    bool is_first = false;
+    std::string body;
+};
+
+struct ledger_entry
+{
+    bool is_idempotent = false;
+    bool is_resent = false;
+    bool has_ended = false;
+    bool is_told_not_run = false;
+    std::vector<events::settle_request> settlements;
+};
+
+std::string original_id(std::string id)
+{
+    auto const position = id.rfind(again);
+    return position == std::string::npos ? id : id.substr(0, position);
+}
+
+class schedule
+{
+public:
+    schedule(std::uint64_t seed, defect broken_rule)
+        : m_world(seed)
+        , m_defect(broken_rule)
+    {
+    }
+
+    schedule_result play()
+    {
+        auto const begin = m_world.now;
+        for (std::size_t index = 0; index < daemon_count; ++index)
+        {
+            m_daemons[index].name = "host-" + std::to_string(index);
+            m_daemons[index].failure_domain = static_cast<view::index>(index % 3);
+        }
+        for (std::size_t index = 0; index < daemon_count; ++index)
+        {
+            start(index);
+            tick(index);
+        }
+        for (std::size_t number = 0; number < request_count; ++number)
+            m_world.after(m_world.between_ms(100, 12000),
+                          [this, number]()
+                          {
+                              begin_request(number);
+                          });
+        for (int fault = 0; fault < 8; ++fault)
+            m_world.after(m_world.between_ms(500, 14000),
+                          [this]()
+                          {
+                              inject_fault();
+                          });
+        m_world.after(fault_time,
+                      [this]()
+                      {
+                          m_is_faulty = false;
+                      });
+        m_world.run_until(begin + whole_time);
+        check();
+        return std::move(m_result);
+    }
+
+private:
+    void start(std::size_t index)
+    {
+        auto& host = m_daemons[index];
+        host.is_up = true;
+        host.started_at = m_world.now;
+        host.state = std::make_unique<forward::coordinator>();
+        for (auto const* const service : {"look", "lock", "order"})
+            host.state->services[service].retries.tokens = retry::most_tokens;
+        host.world = make_world();
+        host.world.own_name = host.name;
+        host.world.own_incarnation = ++m_incarnation;
+        host.world.own_failure_domain = host.failure_domain;
+        host.world.entry_hosts.clear();
+        for (auto const& other : m_daemons)
+        {
+            view::entry_host listed;
+            listed.name = other.name;
+            listed.failure_domain = other.failure_domain;
+            host.world.entry_hosts.push_back(listed);
+        }
+        for (auto& server : host.world.backend_servers)
+            server.name += "-" + std::to_string(host.failure_domain);
+    }
+
+    [[nodiscard]] bool is_running(std::size_t index) const
+    {
+        return m_daemons[index].is_up && m_daemons[index].frozen_until <= m_world.now;
+    }
+
+    [[nodiscard]] bool is_cut(std::size_t one, std::size_t other) const
+    {
+        return m_cut_until > m_world.now && (one == m_cut_off) != (other == m_cut_off);
+    }
+
+    void refresh(std::size_t index)
+    {
+        auto& host = m_daemons[index];
+        host.world.own_epoch =
+            static_cast<std::uint32_t>((m_world.now - host.started_at) / epoch_length);
+        for (std::size_t other = 0; other < daemon_count; ++other)
+        {
+            auto& listed = host.world.entry_hosts[other];
+            auto const& world = m_daemons[other].world;
+            if (is_running(other) && !is_cut(index, other) && m_world.draw(70))
+            {
+                host.heard_at[other] = m_world.now;
+                listed.incarnation = world.own_incarnation;
+                listed.epoch = world.own_epoch;
+            }
+            auto const is_silent = host.heard_at[other] + 3s < m_world.now;
+            listed.state = is_silent ? view::member_state::silent : view::member_state::live;
+        }
+    }
+
+    void tick(std::size_t index)
+    {
+        m_world.after(20ms,
+                      [this, index]()
+                      {
+                          tick(index);
+                      });
+        if (!is_running(index))
+            return;
+        refresh(index);
+        auto& host = m_daemons[index];
+        carry_out(index, forward::tick(*host.state, host.world, m_world.now, m_world.random()));
+    }
+
+    /// Hands an event to an incarnation; a frozen one gets it when it resumes.
+    void deliver(std::size_t index, std::uint64_t incarnation, events::forward_event event)
+    {
+        auto& host = m_daemons[index];
+        if (!host.is_up || host.world.own_incarnation != incarnation)
+            return;
+        if (!is_running(index))
+        {
+            m_world.after(host.frozen_until - m_world.now,
+                          [this, index, incarnation, event = std::move(event)]()
+                          {
+                              deliver(index, incarnation, event);
+                          });
+            return;
+        }
+        break_rule(host, event);
+        auto const cancelled = forgotten_cancel(event);
+        carry_out(index,
+                  forward::handle(
+                      *host.state, std::move(event), host.world, m_world.now, m_world.random()));
+        if (!cancelled.has_value())
+            return;
+        auto const& [id, attempt] = *cancelled;
+        auto& relays = host.state->relays.runs;
+        auto const found = relays.find({id.owner, id.incarnation, id.epoch, id.unique, attempt});
+        if (found != relays.end() && !found->second->is_dispatched)
+            relays.erase(found);
+    }
+
+    [[nodiscard]] std::optional<messages::relay_cancel>
+    forgotten_cancel(events::forward_event const& event) const
+    {
+        auto const* const message = std::get_if<events::peer_request_message>(&event);
+        if (m_defect != defect::tombstones_forgotten || message == nullptr)
+            return std::nullopt;
+        auto const* const cancel = std::get_if<messages::relay_cancel>(&message->content);
+        return cancel == nullptr ? std::nullopt : std::optional(*cancel);
+    }
+
+    void break_rule(simulated_daemon const& host, events::forward_event& event) const
+    {
+        auto* const result = std::get_if<events::attempt_result>(&event);
+        if (m_defect == defect::break_is_proof && result != nullptr &&
+            result->end == events::attempt_end::broken)
+            result->end = events::attempt_end::refused;
+        auto* const cancel = std::get_if<events::cancel_result>(&event);
+        if (m_defect == defect::cancel_is_proof && cancel != nullptr)
+            cancel->is_cancelled = true;
+        auto* const subject = std::get_if<events::caller_request>(&event);
+        if (m_defect == defect::resend_starts_anew && subject != nullptr &&
+            host.state->requests.requests.contains(*subject->id))
+            subject->id->unique += again;
+    }
+
+    auto reporter(std::size_t index, kernel::duration delay)
+    {
+        auto const incarnation = m_daemons[index].world.own_incarnation;
+        return [this, index, incarnation, delay](events::forward_event event)
+        {
+            m_world.after(delay,
+                          [this, index, incarnation, event = std::move(event)]()
+                          {
+                              deliver(index, incarnation, event);
+                          });
+        };
+    }
+
+    void carry_out(std::size_t index, std::vector<forward::action> const& actions)
+    {
+        for (auto const& item : actions)
+            std::visit(
+                [this, index](auto const& content)
+                {
+                    apply(index, content);
+                },
+                item);
+    }
+
+    void apply(std::size_t index, events::backend_command const& command)
+    {
+        auto const tell = reporter(index, m_world.between_ms(0, 20));
+        m_world.after(m_world.between_ms(0, 20),
+                      [this, command, tell]()
+                      {
+                          if (auto const* run = std::get_if<events::dispatch_attempt>(&command))
+                              m_servers.dispatch(m_world, *run, tell);
+                          else
+                              m_servers.cancel(
+                                  m_world, std::get<events::cancel_attempt>(command), tell);
+                      });
+    }
+
+    void apply(std::size_t index, events::peer_command const& command)
+    {
+        auto const& sender = m_daemons[index];
+        if (command.recipient == sender.name)
+            fail("message to itself", sender.name);
+        auto const* const relay = std::get_if<messages::relay>(&command.content);
+        auto const* const submit = std::get_if<messages::submit>(&command.content);
+        m_result.relayed += relay != nullptr ? 1 : 0;
+        m_result.forwarded += submit != nullptr ? 1 : 0;
+        if (m_is_faulty && m_world.draw(5) && relay != nullptr)
+            return reporter(index, 0ms)(events::peer_unsent{*relay});
+        if (m_is_faulty && m_world.draw(5) && submit != nullptr)
+            return reporter(index, 0ms)(events::peer_unsent{*submit});
+        auto const recipient = find_daemon(command.recipient);
+        auto const copies = m_is_faulty && m_world.draw(15) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+        {
+            if (is_cut(index, recipient) || (m_is_faulty && m_world.draw(10)))
+                continue;
+            send_copy(recipient, sender, command);
+        }
+    }
+
+    void send_copy(std::size_t recipient,
+                   simulated_daemon const& sender,
+                   events::peer_command const& command)
+    {
+        auto const delay =
+            m_world.draw(15) ? m_world.between_ms(100, 4000) : m_world.between_ms(1, 30);
+        auto event = std::visit(
+            [&sender](auto const& content)
+            {
+                events::peer_request_message made{sender.name, sender.world.own_incarnation, {}};
+                if constexpr (requires { made.content = content; })
+                    made.content = content;
+                return made;
+            },
+            command.content);
+        m_world.after(delay,
+                      [this, recipient, wanted = command.recipient_incarnation, event]()
+                      {
+                          auto const current = m_daemons[recipient].world.own_incarnation;
+                          if (wanted == 0 || wanted == current)
+                              deliver(recipient, current, event);
+                      });
+    }
+
+    [[nodiscard]] std::size_t find_daemon(std::string_view name) const
+    {
+        std::size_t index = 0;
+        while (m_daemons.at(index).name != name)
+            ++index;
+        return index;
+    }
+
+    simulated_journal& journal_of(identity::request_id const& id)
+    {
+        return m_journals[id.owner + "/" + std::to_string(id.incarnation)];
+    }
+
+    void apply(std::size_t index, events::store_command const& command)
+    {
+        auto const tell = reporter(index, m_world.between_ms(0, 20));
+        if (auto const* settled = std::get_if<events::settle_request>(&command))
+        {
+            m_ledger[original_id(to_string(settled->id))].settlements.push_back(*settled);
+            m_result.settled_late += settled->was_unresolved ? 1 : 0;
+        }
+        m_world.after(m_world.between_ms(5, 80),
+                      [this, command, tell]()
+                      {
+                          write(command, tell);
+                      });
+    }
+
+    void write(events::store_command const& command, simulated_servers::report const& tell)
+    {
+        if (auto const* intent = std::get_if<events::append_intent>(&command))
+        {
+            auto& journal = journal_of(intent->id);
+            if (journal.is_closed || m_world.draw(5))
+                return tell(events::intent_refused{intent->id});
+            journal.entries[to_string(intent->id)] = std::nullopt;
+            return tell(events::intent_durable{intent->id});
+        }
+        if (auto const* settled = std::get_if<events::settle_request>(&command))
+        {
+            auto& journal = journal_of(settled->id);
+            if (settled->is_journaled && !journal.is_closed)
+                journal.entries[to_string(settled->id)] = settled->result;
+        }
+        if (auto const* fence = std::get_if<events::fence_owner>(&command))
+        {
+            ++m_result.fenced;
+            auto& journal = journal_of(fence->id);
+            journal.is_closed = true;
+            auto const found = journal.entries.find(to_string(fence->id));
+            auto const result = found == journal.entries.end()
+                                    ? outcome::not_run
+                                    : found->second.value_or(outcome::unresolved);
+            tell(events::fence_result{fence->id, result, reason::fenced});
+        }
+    }
+
+    void apply(std::size_t index, events::control_event const& event)
+    {
+        auto const& report = std::get<events::usage_report>(event);
+        for (std::size_t other = 0; other < daemon_count; ++other)
+        {
+            if (other == index || is_cut(index, other) || !is_running(other))
+                continue;
+            auto& world = m_daemons[other].world;
+            auto& credits = world.entry_hosts[index].credits;
+            credits.clear();
+            for (auto const& offer : report.credits)
+                credits.push_back(
+                    {view::find_service(world, offer.service), offer.slots, m_world.now + 1s});
+        }
+    }
+
+    void apply(std::size_t, forward::metric_count const& count)
+    {
+        m_result.retried += count.which == forward::metric::retries ? 1 : 0;
+    }
+
+    void apply(std::size_t, forward::log_note const&) {}
+
+    void begin_request(std::size_t number)
+    {
+        auto const owner = m_world.below(daemon_count);
+        auto const& world = m_daemons[owner].world;
+        identity::request_id const id{world.own_name,
+                                      world.own_incarnation,
+                                      world.own_epoch,
+                                      "request-" + std::to_string(number)};
+        constexpr std::array<std::string_view, 3> services{"look", "lock", "order"};
+        auto const service = std::string(services.at(m_world.below(services.size())));
+        m_ledger[to_string(id)].is_idempotent = service == "look";
+        transmit(id, service, m_world.draw(90) ? owner : m_world.below(daemon_count), 1);
+        auto delay = kernel::duration{};
+        for (std::uint32_t transmission = 2; transmission < 7; ++transmission)
+        {
+            delay += m_world.draw(20) ? 0ms : m_world.between_ms(50, 5000);
+            auto const target = m_world.below(daemon_count);
+            m_world.after(delay,
+                          [this, id, service, target, transmission]()
+                          {
+                              auto const& entry = m_ledger[to_string(id)];
+                              if (!entry.has_ended || (entry.is_resent && m_world.draw(30)))
+                                  transmit(id, service, target, transmission);
+                          });
+        }
+    }
+
+    void transmit(identity::request_id const& id,
+                  std::string const& service,
+                  std::size_t target,
+                  std::uint32_t transmission)
+    {
+        auto const exchange = ++m_exchange;
+        auto const is_first = transmission == 1;
+        // Whichever body reaches the owner first is the request of this id.
+        auto const has_other_body = !is_first && m_world.draw(5);
+        auto const body = (has_other_body ? "other " : "body of ") + id.unique;
+        m_ledger[to_string(id)].is_resent |= !is_first;
+        m_calls[exchange] = {to_string(id), is_first, body};
+        auto const deadline = m_world.now + m_world.between_ms(300, 5000);
+        deliver(target,
+                m_daemons[target].world.own_incarnation,
+                events::caller_request{exchange, id, transmission, service, deadline, body});
+    }
+
+    void apply(std::size_t, events::front_reply const& reply)
+    {
+        auto const found = m_calls.find(reply.exchange);
+        if (found == m_calls.end())
+            return fail("second answer on an exchange", to_string(reply.id));
+        auto const call = found->second;
+        m_calls.erase(found);
+        auto& entry = m_ledger[call.id];
+        // A caller that sends another copy has given up the exchange of its first transmission.
+        if (call.is_first && entry.is_resent)
+            return;
+        entry.has_ended = entry.has_ended || reply.result != outcome::unresolved;
+        m_result.answered += reply.result == outcome::ran ? 1 : 0;
+        m_result.told_not_run += reply.result == outcome::not_run ? 1 : 0;
+        m_result.told_unresolved += reply.result == outcome::unresolved ? 1 : 0;
+        if (reply.result == outcome::not_run)
+            entry.is_told_not_run = true;
+        auto const is_fenced = reply.cause == reason::fenced;
+        if (reply.result == outcome::ran && !is_fenced &&
+            original_id(reply.answer) != expected_answer(call.id, call.body))
+            fail("wrong answer", call.id);
+    }
+
+    void inject_fault()
+    {
+        auto const target = m_world.below(daemon_count);
+        auto& host = m_daemons[target];
+        switch (m_world.below(3))
+        {
+        case 0:
+            host.is_up = false;
+            m_world.after(m_world.between_ms(300, 5000),
+                          [this, target]()
+                          {
+                              if (!m_daemons[target].is_up)
+                                  start(target);
+                          });
+            break;
+        case 1:
+            host.frozen_until = m_world.now + m_world.between_ms(300, 6000);
+            break;
+        default:
+            m_cut_off = target;
+            m_cut_until = m_world.now + m_world.between_ms(500, 5000);
+        }
+    }
+
+    void fail(std::string const& what, std::string const& id)
+    {
+        m_result.violations.push_back(what + ": " + id);
+    }
+
+    void check()
+    {
+        std::map<std::string, std::size_t> runs;
+        for (auto const& [id, count] : m_servers.runs)
+            runs[original_id(id)] += count;
+        for (auto const& [id, entry] : m_ledger)
+        {
+            auto const count = runs[id];
+            if (!entry.is_idempotent && count > 1)
+                fail("at-most-once id ran " + std::to_string(count) + " times", id);
+            if (entry.is_told_not_run && count > 0)
+                fail("told not_run but ran", id);
+            check_settlements(id, entry, count);
+        }
+        for (auto const& host : m_daemons)
+            check_idle(host);
+    }
+
+    void check_settlements(std::string const& id, ledger_entry const& entry, std::size_t runs)
+    {
+        auto const& settlements = entry.settlements;
+        for (std::size_t number = 0; number < settlements.size(); ++number)
+        {
+            auto const is_second = number == 1;
+            auto const is_valid = number < 2 && settlements[number].was_unresolved == is_second &&
+                                  (!is_second || settlements[0].result == outcome::unresolved);
+            if (!is_valid)
+                fail("settled more than once", id);
+        }
+        if (settlements.empty())
+            return;
+        auto const result = settlements.back().result;
+        if (result == outcome::not_run && runs > 0)
+            fail("settled as not_run but ran", id);
+        if (result == outcome::ran && runs == 0)
+            fail("settled as ran but did not run", id);
+    }
+
+    /// A slot, credit or waiting caller that is never given back would be lost for good.
+    void check_idle(simulated_daemon const& host)
+    {
+        auto const& state = *host.state;
+        auto used = state.requests.open_requests + state.relays.open_runs + state.queue.size +
+                    state.forwards.waits.size() + state.credits.size() +
+                    state.requests.timers.size();
+        for (auto const& usage : state.servers.usage)
+            used += usage.second.in_flight;
+        if (used != 0)
+            fail("not idle at the end", host.name);
+    }
+
+    simulation m_world;
+    defect m_defect;
+    schedule_result m_result;
+    simulated_servers m_servers;
+    std::array<simulated_daemon, daemon_count> m_daemons;
+    std::map<std::string, simulated_journal> m_journals;
+    std::map<std::string, ledger_entry> m_ledger;
+    std::map<std::uint64_t, call> m_calls;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_exchange = 0;
+    std::size_t m_cut_off = 0;
+    kernel::monotonic_time m_cut_until;
+    bool m_is_faulty = true;
+};
+
+} // namespace
+
+schedule_result play_schedule(std::uint64_t seed, defect broken_rule)
+{
+    return schedule(seed, broken_rule).play();
+}
+
+} // namespace pistachiohub::forward_test
--- /dev/null
+++ b/tests/forward/schedule.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+/// @file
+/// Plays a random schedule of several coordinators under faults and checks what callers were told
+/// against what backend servers did. The checks read only the backend servers' and callers' side.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pistachiohub::forward_test
+{
+
+/// A rule that the coordinators of a schedule break, to show that the checks notice it.
+enum class defect
+{
+    none,
+    /// A broken connection is taken as proof that the attempt was not started.
+    break_is_proof,
+    /// Any reply to a cancellation is taken as such proof.
+    cancel_is_proof,
+    /// A receiver forgets which relays it has cancelled.
+    tombstones_forgotten,
+    /// A re-sent id starts a new request.
+    resend_starts_anew
+};
+
+/// What happened in a schedule.
+struct schedule_result
+{
+    std::vector<std::string> violations;
+    std::size_t answered = 0;
+    std::size_t told_not_run = 0;
+    std::size_t told_unresolved = 0;
+    std::size_t settled_late = 0;
+    std::size_t relayed = 0;
+    std::size_t forwarded = 0;
+    std::size_t fenced = 0;
+    std::size_t retried = 0;
+};
+
+/// Plays the schedule of `seed`.
+[[nodiscard]] schedule_result play_schedule(std::uint64_t seed, defect broken_rule);
+
+} // namespace pistachiohub::forward_test
