--- /dev/null
+++ b/plugins/admin/status_report.cpp
@@ -0,0 +1,98 @@
+#include "plugins/admin/status_report.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdlib>
+#include <sstream>
+
+namespace pistachiohub::admin
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string_view to_string(view::member_state state)
+{
+    switch (state)
+    {
+    case view::member_state::live:
+        return "live";
+    case view::member_state::leaving:
+        return "leaving";
+    case view::member_state::silent:
+        break;
+    }
+    return "silent";
+}
+
+json::object to_json(view::world_view const& world, view::entry_host const& host)
+{
+    auto const& domains = world.configuration->failure_domains;
+    bool const has_domain = host.failure_domain < domains.size();
+    return {{"name", host.name},
+            {"address", host.address},
+            {"failure_domain", has_domain ? domains[host.failure_domain].name : ""},
+            {"state", to_string(host.state)},
+            {"incarnation", host.incarnation},
+            {"configuration_version", host.configuration_version}};
+}
+
+json::object to_json(view::world_view const& world, view::backend_server const& server)
+{
+    auto const& services = world.configuration->services;
+    bool const has_service = server.service < services.size();
+    json::object result{{"name", server.name},
+                        {"address", server.address},
+                        {"port", server.port},
+                        {"service", has_service ? services[server.service].name : ""},
+                        {"state", to_string(server.state)},
+                        {"slot_share", server.slot_share}};
+    if (server.reported_load >= 0)
+        result["reported_load"] = server.reported_load;
+    return result;
+}
+
+// The Prometheus text has one `<name>{<labels>} <value>` on each line that is no comment.
+json::object read_counters(std::string const& metrics_text)
+{
+    json::object counters;
+    std::istringstream lines(metrics_text);
+    for (std::string line; std::getline(lines, line);)
+    {
+        auto const space = line.rfind(' ');
+        if (line.empty() || line.front() == '#' || space == std::string::npos)
+            continue;
+        counters[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
+    }
+    return counters;
+}
+
+} // namespace
+
+std::string make_status(kernel::daemon_context& context, view::world_view const* world)
+{
+    json::array members;
+    json::array servers;
+    bool const has_view = world != nullptr && world->configuration != nullptr;
+    if (has_view)
+    {
+        for (auto const& host : world->entry_hosts)
+            members.push_back(to_json(*world, host));
+        for (auto const& server : world->backend_servers)
+            servers.push_back(to_json(*world, server));
+    }
+    json::object const status{
+        {"name", context.own_settings().name},
+        {"incarnation", context.incarnation()},
+        {"failure_domain", context.own_settings().failure_domain},
+        {"configuration_version", has_view ? world->configuration->version : 0},
+        {"is_draining", context.is_draining()},
+        {"members", std::move(members)},
+        {"backend_servers", std::move(servers)},
+        {"counters", read_counters(context.own_metrics().text())}};
+    return json::serialize(status);
+}
+
+} // namespace pistachiohub::admin
