--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds duration{};
     std::chrono::milliseconds deadline{};
     std::size_t body_bytes = 0;
+    std::string body_start;
+    std::uint64_t most_calls = 0;
     std::uint64_t seed = 1;
     std::string prefix;
 };
@@ -75,7 +77,7 @@
             std::chrono::duration<double>(m_load.threads / m_load.calls_per_second));
         auto next = kernel::monotonic_now() + interval * m_number / m_load.threads;
         auto const ends_at = kernel::monotonic_now() + m_load.duration;
-        while (next < ends_at)
+        while (next < ends_at && (m_load.most_calls == 0 || m_call_count < m_load.most_calls))
         {
             std::this_thread::sleep_until(next);
             make_call();
@@ -110,7 +112,7 @@
         standins::finished_call call;
         call.name = m_load.prefix + std::to_string(m_number) + '-' + std::to_string(++m_call_count);
         call.service = draw_service().name;
-        call.body = call.name + ' ' + std::string(m_load.body_bytes, 'x');
+        call.body = m_load.body_start + call.name + ' ' + std::string(m_load.body_bytes, 'x');
         call.started_ms = kernel::wall_clock_ms();
         auto const started = kernel::monotonic_now();
         try
@@ -149,6 +151,8 @@
     load.duration = std::chrono::milliseconds(values["duration-ms"].as<std::uint32_t>());
     load.deadline = std::chrono::milliseconds(values["deadline-ms"].as<std::uint32_t>());
     load.body_bytes = values["body-bytes"].as<std::size_t>();
+    load.body_start = values["body-start"].as<std::string>();
+    load.most_calls = values["calls"].as<std::uint64_t>();
     load.seed = values["seed"].as<std::uint64_t>();
     load.prefix = values["prefix"].as<std::string>();
     if (load.calls_per_second <= 0)
@@ -189,6 +193,10 @@
     add("duration-ms", options::value<std::uint32_t>()->default_value(5000), "length of the run");
     add("deadline-ms", options::value<std::uint32_t>()->default_value(3000), "of each call");
     add("body-bytes", options::value<std::size_t>()->default_value(200), "size of each body");
+    add("body-start", options::value<std::string>()->default_value(""), "start of each body");
+    add("calls",
+        options::value<std::uint64_t>()->default_value(0),
+        "calls of each thread; 0: bounded by the duration only");
     add("history", options::value<std::string>()->default_value("/dev/null"), "history file");
     add("prefix", options::value<std::string>()->default_value("c"), "start of the calls' names");
     add("seed", options::value<std::uint64_t>()->default_value(1), "seed of services and ids");
