--- a/plugins/front/caller_server.cpp
+++ b/plugins/front/caller_server.cpp
@@ -1,12 +1,17 @@
 #include "plugins/front/caller_server.hpp"
 
+#include "plugins/front/http_failure.hpp"
+#include "plugins/front/listen_error.hpp"
+#include "plugins/front/refusal_counter.hpp"
+#include "plugins/front/response_text.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sstream>
 #include <unordered_map>
 #include <utility>
 
@@ -61,42 +66,6 @@
     return head;
 }
 
-http::response<http::string_body> make_response(caller_answer&& answer, bool is_keep_alive)
-{
-    constexpr unsigned http_1_1 = 11;
-    http::response<http::string_body> response(http::int_to_status(answer.status), http_1_1);
-    response.set(http::field::content_type,
-                 answer.is_json ? "application/json" : "application/octet-stream");
-    if (answer.has_outcome)
-    {
-        auto const result = to_string(answer.result);
-        auto const cause = to_string(answer.cause);
-        response.set("Pistachiohub-Request-Id", answer.request_id);
-        response.set("Pistachiohub-Outcome", {result.data(), result.size()});
-        response.set("Pistachiohub-Reason", {cause.data(), cause.size()});
-    }
-    response.keep_alive(is_keep_alive);
-    response.body() = std::move(answer.body);
-    response.prepare_payload();
-    return response;
-}
-
-// Returns nothing when the failure is of the connection and not of the request's form.
-std::optional<refusal> refusal_of(error_code failure)
-{
-    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
-        return refusal{
-            reason::header_too_large, "the header block exceeds 8192 bytes", std::nullopt};
-    if (failure == http::error::body_limit)
-        return refusal{reason::body_too_large, "the body exceeds 65536 bytes", std::nullopt};
-    bool const is_form = failure.category() == make_error_code(http::error::bad_method).category();
-    bool const is_end =
-        failure == http::error::end_of_stream || failure == http::error::partial_message;
-    if (!is_form || is_end)
-        return std::nullopt;
-    return refusal{reason::malformed_http, "the request is not valid HTTP/1.1", std::nullopt};
-}
-
 class session;
 
 } // namespace
@@ -172,13 +141,13 @@
                                  });
     }
 
-    void reply(caller_answer&& answer)
+    void reply(caller_answer const& answer)
     {
         m_exchange = 0;
         // Ends the wait for the caller's end of connection.
         error_code ignored;
         m_stream.socket().cancel(ignored);
-        write(std::move(answer));
+        write(answer);
     }
 
 private:
@@ -217,7 +186,7 @@
         auto const exchange = ++m_server->last_exchange;
         auto answer = m_server->handle(exchange, make_head(request), std::move(request.body()));
         if (answer)
-            return write(std::move(*answer));
+            return write(*answer);
         m_exchange = exchange;
         m_server->waiting.emplace(exchange, weak_from_this());
         watch_for_end(exchange);
@@ -242,17 +211,17 @@
             });
     }
 
-    void write(caller_answer&& answer)
+    void write(caller_answer const& answer)
     {
-        m_response.emplace(make_response(std::move(answer), m_is_keep_alive));
+        m_response = make_response_text(answer, m_is_keep_alive);
         m_stream.expires_after(m_server->limits.write);
         ++m_server->writes;
-        http::async_write(m_stream,
-                          *m_response,
+        asio::async_write(m_stream,
+                          asio::buffer(m_response),
                           [self = shared_from_this()](error_code failure, std::size_t)
                           {
                               --self->m_server->writes;
-                              self->m_response.reset();
+                              self->m_response.clear();
                               if (failure)
                                   self->close_after(failure, "slow_reader");
                               else if (self->m_is_keep_alive)
@@ -301,7 +270,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    std::optional<http::response<http::string_body>> m_response;
+    std::string m_response;
     std::uint64_t m_exchange = 0;
     bool m_is_keep_alive = false;
 };
@@ -310,12 +279,10 @@
 void refuse_connection(tcp::socket& socket)
 {
     refusal const refused{reason::daemon_overloaded, "too many connections are open", std::nullopt};
-    auto const response = make_response(make_refusal(refused), false);
-    std::ostringstream text;
-    text << response;
+    auto const text = make_response_text(make_refusal(refused), false);
     error_code ignored;
     socket.non_blocking(true, ignored);
-    socket.write_some(asio::buffer(text.str()), ignored);
+    socket.write_some(asio::buffer(text), ignored);
     socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
@@ -382,18 +349,6 @@
         .increment();
 }
 
-listen_error::listen_error(std::string const& address, std::uint16_t port, std::string const& cause)
-    : error("cannot listen for callers on " + address + " port " + std::to_string(port) + ": " +
-            cause)
-{
-}
-
-void count_refusal(kernel::metrics& counters, reason cause)
-{
-    counters.find_counter("pistachiohub_front_refusals_total", {"reason", to_string(cause)})
-        .increment();
-}
-
 caller_server::caller_server(kernel::event_loop& loop,
                              kernel::metrics& counters,
                              std::string const& address,
@@ -411,7 +366,7 @@
     stop_accepting();
 }
 
-bool caller_server::complete(std::uint64_t exchange, caller_answer&& answer)
+bool caller_server::complete(std::uint64_t exchange, caller_answer const& answer)
 {
     auto const found = m_implementation->waiting.find(exchange);
     if (found == m_implementation->waiting.end())
@@ -420,7 +375,7 @@
     m_implementation->waiting.erase(found);
     if (!waiting)
         return false;
-    waiting->reply(std::move(answer));
+    waiting->reply(answer);
     return true;
 }
 
--- a/plugins/front/caller_server.hpp
+++ b/plugins/front/caller_server.hpp
@@ -3,7 +3,6 @@
 /// @file
 /// HTTP/1.1 server of the caller port. Beast stays inside the implementation file.
 
-#include "kernel/error.hpp"
 #include "kernel/event_loop.hpp"
 #include "kernel/metrics.hpp"
 #include "plugins/front/answer_builder.hpp"
@@ -38,16 +37,6 @@
     std::size_t most_connections = 1024;
 };
 
-/// The caller port cannot be listened on.
-class listen_error : public kernel::error
-{
-public:
-    listen_error(std::string const& address, std::uint16_t port, std::string const& cause);
-};
-
-/// Counts refusals made by the front duty, by reason.
-void count_refusal(kernel::metrics& counters, reason cause);
-
 /// Serves callers on the thread of an event loop. Every call must be made on that thread.
 class caller_server
 {
@@ -71,7 +60,7 @@
 
     /// Sends the answer of an exchange.
     /// @returns false when the caller has gone away; the answer is then dropped.
-    [[nodiscard]] bool complete(std::uint64_t exchange, caller_answer&& answer);
+    [[nodiscard]] bool complete(std::uint64_t exchange, caller_answer const& answer);
 
     /// @returns the port that is listened on.
     [[nodiscard]] std::uint16_t port() const;
--- a/plugins/front/front_duty.cpp
+++ b/plugins/front/front_duty.cpp
@@ -1,5 +1,7 @@
 #include "plugins/front/front_duty.hpp"
 
+#include "plugins/front/refusal_counter.hpp"
+
 #include <utility>
 
 namespace pistachiohub::front
@@ -153,7 +155,7 @@
         auto answer = make_reply(nullptr, std::move(reply), 0);
         if (!entry->second.id)
             answer.request_id.clear();
-        if (m_server.complete(entry->first, std::move(answer)))
+        if (m_server.complete(entry->first, answer))
             count("pistachiohub_front_missing_replies_total");
         entry = m_exchanges.erase(entry);
     }
