--- a/plugins/backend/backend_client.cpp
+++ b/plugins/backend/backend_client.cpp
@@ -110,16 +110,18 @@
     exchange_bounds const bounds{
         attempt.deadline, m_times.late, attempt_limit(world, attempt.service)};
     auto request = make_run_request(attempt);
+    auto const id = request.request_id;
+    auto const number = request.attempt;
     start_exchange(m_loop,
                    pool,
-                   server_request(request),
+                   std::move(request),
                    bounds,
                    [this,
                     pool,
                     dispatch = attempt.dispatch,
                     server = std::move(attempt.backend_server),
-                    id = std::move(request.request_id),
-                    number = std::move(request.attempt)](exchange_end end, server_answer&& answer)
+                    id,
+                    number](exchange_end end, server_answer&& answer)
                    {
                        if (end == exchange_end::unreachable)
                            observe_unreachable(server);
@@ -137,22 +139,22 @@
 {
     auto const pool = find_pool(attempt.address, attempt.port);
     auto request = make_cancel_request(attempt);
+    auto const id = request.request_id;
+    auto const number = request.attempt;
     exchange_bounds const bounds{kernel::monotonic_now() + m_times.control,
                                  kernel::duration::zero(),
                                  std::numeric_limits<std::size_t>::max()};
-    start_exchange(m_loop,
-                   pool,
-                   server_request(request),
-                   bounds,
-                   [this,
-                    dispatch = attempt.dispatch,
-                    id = std::move(request.request_id),
-                    number = std::move(request.attempt)](exchange_end end, server_answer&& answer)
-                   {
-                       bool const is_proven =
-                           end == exchange_end::answered && is_cancelled(answer, id, number);
-                       m_outputs.cancel({dispatch, is_proven});
-                   });
+    start_exchange(
+        m_loop,
+        pool,
+        std::move(request),
+        bounds,
+        [this, dispatch = attempt.dispatch, id, number](exchange_end end, server_answer&& answer)
+        {
+            bool const is_proven =
+                end == exchange_end::answered && is_cancelled(answer, id, number);
+            m_outputs.cancel({dispatch, is_proven});
+        });
 }
 
 void backend_client::probe(view::world_view const& world)
