--- a/plugins/admin/status_report.cpp
+++ b/plugins/admin/status_report.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
+#include <cstdint>
 #include <cstdlib>
 #include <sstream>
 
@@ -13,6 +15,9 @@
 
 namespace json = boost::json;
 
+// Doubles up to 2^53 hold whole numbers exactly.
+constexpr double largest_exact = 9007199254740992.0;
+
 std::string_view to_string(view::member_state state)
 {
     switch (state)
@@ -64,7 +69,14 @@
         auto const space = line.rfind(' ');
         if (line.empty() || line.front() == '#' || space == std::string::npos)
             continue;
-        counters[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
+        auto const value = std::strtod(line.c_str() + space, nullptr);
+        // Boost.JSON writes every double with an exponent; counts read better without.
+        bool const is_whole = value == std::floor(value) && std::abs(value) < largest_exact;
+        auto& counter = counters[line.substr(0, space)];
+        if (is_whole)
+            counter = static_cast<std::int64_t>(value);
+        else
+            counter = value;
     }
     return counters;
 }
--- a/tests/admin/admin_duty_test.cpp
+++ b/tests/admin/admin_duty_test.cpp
@@ -189,6 +189,9 @@
     auto const status = get("/v1/status").body;
     CHECK(status.find(R"("configuration_version":4)") != std::string::npos);
     CHECK(status.find(R"("service":"redeem","state":"leaving")") != std::string::npos);
+    CHECK(get("/v1/nothing").status == 404);
+    CHECK(get("/v1/status").body.find(R"(admin_refusals{reason=\"unknown_path\"}":1)") !=
+          std::string::npos);
     m_store.put("settlement", "host-1.5", R"({"a":1})");
     CHECK(get("/v1/settlement").body == R"({"settlement":[{"a":1}],"journal":[]})");
     CHECK(post("/v1/quarantine/release", R"({"fingerprint": "ff"})").status == 202);
