membership: Keep slot shares and tables that a change does not touch

Ruled out: incremental changes of the tables, which are harder to prove right than comparison with the last configuration.

--- a/plugins/membership/control_state.cpp
+++ b/plugins/membership/control_state.cpp
@@ -172,7 +172,6 @@
     note("configuration_applied",
          std::to_string(m_held.document->version),
          m_held.document->patch_id);
-    m_derived.is_current = false;
     m_has_new_configuration = true;
     send_round(now);
 }
@@ -266,6 +265,7 @@
 
 void control_state::note_server_states(kernel::monotonic_time now)
 {
+    m_derived.are_servers_current = false;
     for (auto& server : m_servers.servers)
     {
         if (server.state == server.noted_state)
@@ -278,7 +278,7 @@
 
 void control_state::forget_derived(kernel::monotonic_time now)
 {
-    m_derived.is_current = false;
+    m_derived.are_hosts_current = false;
     publish_by(now);
 }
 
--- a/plugins/membership/view_builder.cpp
+++ b/plugins/membership/view_builder.cpp
@@ -3,6 +3,7 @@
 #include "libraries/view/client_table.hpp"
 #include "plugins/limit/slot_share.hpp"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace pistachiohub::membership
@@ -68,11 +69,8 @@
     return host;
 }
 
-view::backend_server make_server(server_record const& source,
-                                 configuration::configuration const& document,
-                                 name_indices const& services,
-                                 std::vector<std::string_view> const& sharing_hosts,
-                                 std::string_view own_name)
+view::backend_server
+make_server(server_record const& source, name_indices const& services, std::uint32_t slot_share)
 {
     view::backend_server server;
     server.name = source.name;
@@ -83,25 +81,87 @@
     server.reported_load = source.reported_load;
     server.reported_at = source.reported_at;
     server.live_since = source.live_since;
-    if (server.service != view::no_index)
-        server.slot_share = limit::slot_share(
-            document.services[server.service].slots, server.name, sharing_hosts, own_name);
+    server.slot_share = slot_share;
     return server;
 }
 
-void update_derived(derived_tables& derived, view::world_view const& world)
+std::vector<std::uint32_t> make_slot_shares(configuration::configuration const& document,
+                                            name_indices const& services,
+                                            server_table const& servers,
+                                            std::vector<std::string> const& sharing_hosts,
+                                            std::string_view own_name)
 {
-    if (!derived.is_current)
+    std::vector<std::string_view> const hosts(sharing_hosts.begin(), sharing_hosts.end());
+    std::vector<std::uint32_t> shares;
+    shares.reserve(servers.servers.size());
+    for (auto const& server : servers.servers)
+    {
+        auto const service = find_index(services, server.service);
+        auto const slots = service == view::no_index ? 0 : document.services[service].slots;
+        shares.push_back(limit::slot_share(slots, server.name, hosts, own_name));
+    }
+    return shares;
+}
+
+bool has_same_domains(configuration::configuration const& left,
+                      configuration::configuration const& right)
+{
+    return std::equal(left.failure_domains.begin(),
+                      left.failure_domains.end(),
+                      right.failure_domains.begin(),
+                      right.failure_domains.end(),
+                      [](auto const& one, auto const& other)
+                      {
+                          return one.name == other.name && one.region == other.region;
+                      });
+}
+
+/// @returns true if the orders of entry hosts do not differ.
+bool has_same_orders(configuration::configuration const& left,
+                     configuration::configuration const& right)
+{
+    return has_same_domains(left, right) &&
+           std::equal(left.services.begin(),
+                      left.services.end(),
+                      right.services.begin(),
+                      right.services.end(),
+                      [](auto const& one, auto const& other)
+                      {
+                          return one.name == other.name &&
+                                 one.steering_policy.regions == other.steering_policy.regions;
+                      });
+}
+
+bool has_same_client_blocks(configuration::configuration const& left,
+                            configuration::configuration const& right)
+{
+    return has_same_domains(left, right) &&
+           std::equal(left.client_blocks.begin(),
+                      left.client_blocks.end(),
+                      right.client_blocks.begin(),
+                      right.client_blocks.end(),
+                      [](auto const& one, auto const& other)
+                      {
+                          return one.network == other.network &&
+                                 one.prefix_length == other.prefix_length &&
+                                 one.failure_domain == other.failure_domain;
+                      });
+}
+
+void update_lookup_tables(derived_tables& derived, view::world_view const& world)
+{
+    auto const& document = *world.configuration;
+    bool const is_new = derived.source != world.configuration;
+    if (!derived.are_hosts_current || !derived.source ||
+        (is_new && !has_same_orders(*derived.source, document)))
     {
-        derived.orders = make_order_tables(*world.configuration, world.entry_hosts);
+        derived.orders = make_order_tables(document, world.entry_hosts);
         derived.entry_hosts_by_name = sort_by_name(world.entry_hosts);
-        derived.is_current = true;
+        derived.are_hosts_current = true;
     }
-    if (derived.client_source == world.configuration && derived.client_blocks)
-        return;
-    derived.client_source = world.configuration;
-    derived.client_blocks = std::make_shared<view::client_table const>(view::make_client_table(
-        world.configuration->client_blocks, world.configuration->failure_domains));
+    if (!derived.source || (is_new && !has_same_client_blocks(*derived.source, document)))
+        derived.client_blocks = std::make_shared<view::client_table const>(
+            view::make_client_table(document.client_blocks, document.failure_domains));
 }
 
 std::shared_ptr<configuration::configuration const>
@@ -134,11 +194,19 @@
     world->entry_hosts.push_back(make_own_host(own, document->version, domains));
     for (auto const& source : members.members)
         world->entry_hosts.push_back(make_host(source, domains, services));
-    std::vector<std::string_view> const hosts(sharing_hosts.begin(), sharing_hosts.end());
-    for (auto const& source : servers.servers)
+    update_lookup_tables(derived, *world);
+    if (!derived.are_servers_current || derived.source != document ||
+        derived.sharing_hosts != sharing_hosts)
+    {
+        derived.slot_shares =
+            make_slot_shares(*document, services, servers, sharing_hosts, own.settings.name);
+        derived.sharing_hosts = sharing_hosts;
+        derived.are_servers_current = true;
+    }
+    derived.source = document;
+    for (std::size_t position = 0; position < servers.servers.size(); ++position)
         world->backend_servers.push_back(
-            make_server(source, *document, services, hosts, own.settings.name));
-    update_derived(derived, *world);
+            make_server(servers.servers[position], services, derived.slot_shares[position]));
     world->entry_host_order = derived.orders.entry_host_order;
     world->entry_host_order_starts = derived.orders.entry_host_order_starts;
     world->entry_hosts_by_name = derived.entry_hosts_by_name;
--- a/plugins/membership/view_builder.hpp
+++ b/plugins/membership/view_builder.hpp
@@ -9,6 +9,7 @@
 #include "plugins/membership/order_table.hpp"
 #include "plugins/membership/servers.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -18,16 +19,21 @@
 {
 
 /// Derived tables that are kept while what they depend on is unchanged. They are costly to make
-/// with 8,000 hosts, and most publications change only credits or loads.
+/// with 8,000 hosts, and most publications change only credits, loads or numbers of a policy.
 struct derived_tables
 {
-    /// False after a change of the configuration or of any host's state.
-    bool is_current = false;
+    /// False after a change of any entry host's state or position.
+    bool are_hosts_current = false;
+    /// False after a change of any backend server's state or position.
+    bool are_servers_current = false;
+    /// Configuration from which the tables were made.
+    std::shared_ptr<configuration::configuration const> source;
     order_tables orders;
     std::vector<view::index> entry_hosts_by_name;
-    /// Configuration from which `client_blocks` was made.
-    std::shared_ptr<configuration::configuration const> client_source;
     std::shared_ptr<view::client_table const> client_blocks;
+    /// Hosts for which `slot_shares`, one for each backend server, were made.
+    std::vector<std::string> sharing_hosts;
+    std::vector<std::uint32_t> slot_shares;
 };
 
 /// What the view says of this daemon itself.
--- a/tests/membership/control_state_test.cpp
+++ b/tests/membership/control_state_test.cpp
@@ -1,3 +1,4 @@
+#include "libraries/view/client_table.hpp"
 #include "plugins/lookup/lookup.hpp"
 #include "tests/membership/fleet.hpp"
 
@@ -286,6 +287,50 @@
     CHECK_FALSE(told_hosts(hosts, "a-1-h2").contains("a-1-h2"));
 }
 
+// Tables that are kept over publications must follow every change that concerns them.
+TEST_CASE("control_state_changed_configuration_updates_derived_tables", "[membership]")
+{
+    kernel::settings settings;
+    settings.name = "own";
+    settings.failure_domain = "a-1";
+    settings.caller_port = 1;
+    kernel::monotonic_time const start{1h};
+    membership::control_state state(settings, 1, 0, start);
+    configuration::configuration document;
+    auto const publish = [&]()
+    {
+        ++document.version;
+        state.handle(
+            events::configuration_received{
+                std::make_shared<configuration::configuration const>(document),
+                std::make_shared<std::string const>("{}")},
+            start);
+        return state.take_view(start);
+    };
+    events::host_list_received list;
+    list.failure_domain = "a-1";
+    list.backend_servers = {{"server", "10.0.0.1", 80, "balance", false}};
+    state.handle(list, start);
+    document.failure_domains = {{"a-1", "a", 1}};
+    document.services.emplace_back().name = "balance";
+    CHECK(publish()->backend_servers.at(0).slot_share == 1);
+    document.services[0].slots = 6;
+    CHECK(publish()->backend_servers.at(0).slot_share == 6);
+    document.client_blocks = {{0x0a000000, 8, "a-1"}};
+    CHECK(view::find_client(*publish()->client_blocks, 0x0a010101) == 0);
+    document.services.emplace_back().name = "title";
+    document.failure_domains.insert(document.failure_domains.begin(), {"b-1", "b", 1});
+    auto const world = publish();
+    CHECK(view::find_client(*world->client_blocks, 0x0a010101) == 1);
+    CHECK(world->own_failure_domain == 1);
+    CHECK(lookup::find_entry_hosts(*world, 1, std::nullopt).size() == 1);
+    list.backend_servers.push_back({"other", "10.0.0.2", 80, "title", false});
+    state.handle(list, start);
+    auto const later = state.take_view(start + membership::publish_interval);
+    REQUIRE(later);
+    CHECK(later->backend_servers.at(1).slot_share == 1);
+}
+
 // In a quiet fleet every publication makes all threads reload their view for nothing.
 TEST_CASE("control_state_quiet_fleet_publishes_rarely", "[membership]")
 {
