--- a/tests/membership/control_state_test.cpp
+++ b/tests/membership/control_state_test.cpp
@@ -228,6 +228,30 @@
     CHECK(hosts.state("a-1-h1", "c-1-h1") == member_state::live);
 }
 
+// Above 16 hosts of other domains, only readers talk across domains; every daemon must still learn
+// of all hosts and of each configuration within 2 s.
+TEST_CASE("control_state_large_fleet_learns_by_summaries", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 4));
+    fleet hosts({"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}, 4, static_cast<std::uint64_t>(seed));
+    hosts.advance(20s);
+    for (auto const& observer : hosts.names())
+    {
+        for (auto const& host : hosts.names())
+            CHECK(hosts.state(observer, host) == member_state::live);
+    }
+    hosts.publish_configuration("b-1-h3", 1);
+    hosts.advance(2s);
+    for (auto const& name : hosts.names())
+        CHECK(hosts.at(name).world->configuration->version == 1);
+    for (auto const& name : {"c-1-h1", "c-1-h2", "c-1-h3", "c-1-h4"})
+        hosts.kill(name);
+    hosts.advance(20s);
+    CHECK(hosts.state("a-1-h1", "c-1-h1") == member_state::silent);
+    CHECK(hosts.state("b-2-h4", "c-1-h4") == member_state::silent);
+    CHECK(hosts.state("b-2-h4", "c-2-h4") == member_state::live);
+}
+
 // A lagging list that calls a restarted host dead or leaving must not overrule its heartbeats.
 TEST_CASE("control_state_stale_host_list_does_not_overrule_heartbeats", "[membership]")
 {
