backend: Compute connection limits twice a second

Cause: each dispatch counted the live entry hosts of the view, which are 8,000 at target size. Ruled out: a computation at each publication, because the control duty may publish many times a second. Limits lag a change of hosts by at most 500 ms.

--- a/plugins/backend/backend_client.cpp
+++ b/plugins/backend/backend_client.cpp
@@ -65,22 +65,21 @@
     }
 }
 
-std::size_t attempt_limit(view::world_view const* world, std::string_view service)
+} // namespace
+
+backend_client::backend_client(kernel::event_loop& loop,
+                               kernel::metrics& counters,
+                               backend_client_times const& times,
+                               backend_client_outputs outputs)
+    : m_loop(loop)
+    , m_counters(counters)
+    , m_times(times)
+    , m_outputs(std::move(outputs))
 {
-    // Without a view the forward duty dispatches nothing but what was under way.
-    if (world == nullptr)
-        return 1;
-    auto const limit = connection_limit(*world, service);
-    return limit > control_connections ? limit - control_connections : 1;
 }
 
-} // namespace
-
-std::size_t connection_limit(view::world_view const& world, std::string_view service)
+void backend_client::set_limits(view::world_view const& world)
 {
-    auto const position = view::find_service(world, service);
-    if (position == view::no_index)
-        return 1;
     auto const hosts = std::count_if(world.entry_hosts.begin(),
                                      world.entry_hosts.end(),
                                      [&world](view::entry_host const& host)
@@ -88,27 +87,19 @@
                                          return host.failure_domain == world.own_failure_domain &&
                                                 host.state != view::member_state::silent;
                                      });
-    std::size_t const connections = world.configuration->services[position].connections;
     auto const sharers = static_cast<std::size_t>(std::max<std::ptrdiff_t>(hosts, 1));
-    return std::max<std::size_t>(connections / sharers, 1);
-}
-
-backend_client::backend_client(kernel::event_loop& loop,
-                               kernel::metrics& counters,
-                               backend_client_times const& times,
-                               backend_client_outputs outputs)
-    : m_loop(loop)
-    , m_counters(counters)
-    , m_times(times)
-    , m_outputs(std::move(outputs))
-{
+    m_limits.clear();
+    for (auto const& service : world.configuration->services)
+    {
+        auto const share = service.connections / sharers;
+        m_limits[service.name] = share > control_connections ? share - control_connections : 1;
+    }
 }
 
-void backend_client::dispatch(view::world_view const* world, events::dispatch_attempt&& attempt)
+void backend_client::dispatch(events::dispatch_attempt&& attempt)
 {
     auto const pool = find_pool(attempt.address, attempt.port);
-    exchange_bounds const bounds{
-        attempt.deadline, m_times.late, attempt_limit(world, attempt.service)};
+    exchange_bounds const bounds{attempt.deadline, m_times.late, attempt_limit(attempt.service)};
     auto request = make_run_request(attempt);
     auto const id = request.request_id;
     auto const number = request.attempt;
@@ -206,6 +197,13 @@
     }
 }
 
+std::size_t backend_client::attempt_limit(std::string const& service) const
+{
+    // A service that a new configuration has just removed may still have attempts under way.
+    auto const found = m_limits.find(service);
+    return found == m_limits.end() ? 1 : found->second;
+}
+
 std::shared_ptr<connection_pool> const& backend_client::find_pool(std::string const& address,
                                                                   std::uint16_t port)
 {
--- a/plugins/backend/backend_client.hpp
+++ b/plugins/backend/backend_client.hpp
@@ -51,9 +51,11 @@
                    backend_client_times const& times,
                    backend_client_outputs outputs);
 
+    /// Takes the connection limits from a view; called after each publication or from time to time.
+    void set_limits(view::world_view const& world);
+
     /// Sends one attempt.
-    /// @param world the published view, or null.
-    void dispatch(view::world_view const* world, events::dispatch_attempt&& attempt);
+    void dispatch(events::dispatch_attempt&& attempt);
 
     /// Asks a backend server to cancel an attempt.
     void cancel(events::cancel_attempt const& attempt);
@@ -65,6 +67,7 @@
     void close_idle();
 
 private:
+    [[nodiscard]] std::size_t attempt_limit(std::string const& service) const;
     [[nodiscard]] std::shared_ptr<connection_pool> const& find_pool(std::string const& address,
                                                                     std::uint16_t port);
     void report_attempt(std::uint64_t dispatch, events::attempt_end end, std::string&& answer);
@@ -79,12 +82,10 @@
     kernel::metrics& m_counters;
     backend_client_times m_times;
     backend_client_outputs m_outputs;
+    // By service: connections that attempts may use at one backend server.
+    std::unordered_map<std::string, std::size_t> m_limits;
     // By address and port.
     std::unordered_map<std::string, std::shared_ptr<connection_pool>> m_pools;
 };
 
-/// @returns the connections that this daemon may open to a backend server of `service`: the
-/// service's limit divided among the entry hosts of the failure domain, at least 1.
-[[nodiscard]] std::size_t connection_limit(view::world_view const& world, std::string_view service);
-
 } // namespace pistachiohub::backend
--- a/plugins/backend/backend_duty.cpp
+++ b/plugins/backend/backend_duty.cpp
@@ -13,6 +13,7 @@
 // no new work.
 constexpr auto probe_interval = std::chrono::seconds(1);
 constexpr auto idle_check_interval = std::chrono::milliseconds(500);
+constexpr auto limits_lifetime = std::chrono::milliseconds(500);
 // Results that a full mailbox refused are tried again after this time.
 constexpr auto flush_interval = std::chrono::milliseconds(10);
 
@@ -91,11 +92,25 @@
 void backend_duty::handle(events::backend_command&& command)
 {
     if (auto* const attempt = std::get_if<events::dispatch_attempt>(&command))
-        m_client.dispatch(m_world.get(), std::move(*attempt));
+    {
+        update_limits();
+        m_client.dispatch(std::move(*attempt));
+    }
     else
         m_client.cancel(std::get<events::cancel_attempt>(command));
 }
 
+void backend_duty::update_limits()
+{
+    // The control duty may publish many times a second; the limits change with hosts and services.
+    auto const now = kernel::monotonic_now();
+    auto const* const world = m_world.get();
+    if (world == nullptr || now < m_limits_expire_at)
+        return;
+    m_client.set_limits(*world);
+    m_limits_expire_at = now + limits_lifetime;
+}
+
 void backend_duty::probe()
 {
     if (auto const* const world = m_world.get())
--- a/plugins/backend/backend_duty.hpp
+++ b/plugins/backend/backend_duty.hpp
@@ -25,6 +25,7 @@
 
 private:
     void handle(events::backend_command&& command);
+    void update_limits();
     void probe();
 
     kernel::daemon_context& m_context;
@@ -35,6 +36,7 @@
     kernel::snapshot_reader<view::world_view> m_world;
     kernel::event_loop m_loop;
     backend_client m_client;
+    kernel::monotonic_time m_limits_expire_at;
 };
 
 } // namespace pistachiohub::backend
