--- a/plugins/peer/peer_duty.cpp
+++ b/plugins/peer/peer_duty.cpp
@@ -17,6 +17,8 @@
 
 constexpr int peer_start_order = 10;
 constexpr auto check_interval = std::chrono::milliseconds(50);
+// Closing a socket drops its send buffer, which may hold the last replies of a graceful shutdown.
+constexpr auto last_send_time = std::chrono::milliseconds(100);
 // Received messages that are handled before commands get their turn again.
 constexpr int most_in_turn = 256;
 
@@ -125,7 +127,15 @@
 
 void peer_duty::request_stop()
 {
-    m_loop.stop();
+    m_loop.post(
+        [this]()
+        {
+            m_loop.after(last_send_time,
+                         [this]()
+                         {
+                             m_loop.stop();
+                         });
+        });
 }
 
 std::uint16_t peer_duty::port() const
