front: Report not_run only for ids that cannot have run

Cause: a refusal by the entry host itself (not ready, unknown service, full mailbox, bad header) was told as not_run even for a re-sent id, which another entry host may have run (I4). Found by reading. Ruled out: refusing every request without a transmission number; callers may omit it, they then get unresolved. Before / after: the two new tests of the answer builder fail before the change and pass after it. Status 410 says that the request ran and its answer is not held.

--- a/libraries/caller/caller.cpp
+++ b/libraries/caller/caller.cpp
@@ -309,9 +309,11 @@
     sent.cause = parse_reason(received.reason);
     current.used.told = *told;
     current.used.cause = sent.cause.value_or(reason::malformed_http);
-    if (*told == outcome::ran)
+    // A request can be known to have run although its answer is not held any more.
+    bool const has_answer = *told == outcome::ran && current.used.cause == reason::ok;
+    if (has_answer)
         current.answer = received.body;
-    auto const fresh = *told == outcome::ran ? std::string() : find_fresh_lookup(received.body);
+    auto const fresh = has_answer ? std::string() : find_fresh_lookup(received.body);
     if (!fresh.empty())
         static_cast<void>(store_lookup(current.service, fresh));
     // Another entry host may know more than one that cannot reach the owner.
--- a/plugins/front/answer_builder.cpp
+++ b/plugins/front/answer_builder.cpp
@@ -17,6 +17,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_gone = 410;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_unresolved = 504;
 // Enough for most answers, so that the text is allocated once.
@@ -111,7 +112,7 @@
 unsigned status_of(outcome result, reason cause)
 {
     if (result == outcome::ran)
-        return status_ok;
+        return cause == reason::ok ? status_ok : status_gone;
     if (result == outcome::unresolved)
         return status_unresolved;
     if (cause == reason::unknown_path)
@@ -121,6 +122,8 @@
 
 std::string_view message_of(outcome result)
 {
+    if (result == outcome::ran)
+        return "a backend server ran the request; its answer is not held any more";
     return result == outcome::not_run
                ? "no backend server started the request; a new try takes a new id"
                : "the request may have run; send it again with the same id to learn its outcome";
@@ -185,7 +188,7 @@
 {
     caller_answer answer;
     answer.has_outcome = true;
-    answer.result = outcome::not_run;
+    answer.result = refused.may_have_run ? outcome::unresolved : outcome::not_run;
     answer.cause = refused.cause;
     answer.status = is_lookup && refused.cause == reason::unknown_service
                         ? status_not_found
@@ -215,7 +218,10 @@
                               std::nullopt};
     }
     if (refused)
+    {
         refused->id = submitted.id;
+        refused->may_have_run = may_be_resent(submitted);
+    }
     return refused;
 }
 
@@ -228,7 +234,7 @@
     answer.cause = reply.cause;
     answer.status = status_of(reply.result, reply.cause);
     answer.request_id = identity::to_string(reply.id);
-    if (reply.result == outcome::ran)
+    if (reply.result == outcome::ran && reply.cause == reason::ok)
     {
         answer.is_json = false;
         answer.body = std::move(reply.answer);
--- a/plugins/front/front_duty.cpp
+++ b/plugins/front/front_duty.cpp
@@ -114,7 +114,10 @@
     if (m_forward.try_push(std::move(event)))
         return std::nullopt;
     m_exchanges.erase(exchange);
-    return refuse({reason::daemon_overloaded, "too many requests wait", submitted.id});
+    return refuse({reason::daemon_overloaded,
+                   "too many requests wait",
+                   submitted.id,
+                   may_be_resent(submitted)});
 }
 
 caller_answer front_duty::refuse(refusal const& refused)
--- a/plugins/front/request_parser.cpp
+++ b/plugins/front/request_parser.cpp
@@ -84,14 +84,6 @@
             return refuse(reason::bad_request_id,
                           "Pistachiohub-Request-Id is not <owner>/<incarnation>/<epoch>/<unique>");
     }
-    auto const remaining = head.deadline_ms.occurrences == 1
-                               ? parse_bounded(head.deadline_ms.text, 1, longest_deadline_ms)
-                               : std::nullopt;
-    if (!remaining)
-        return refusal{reason::bad_deadline,
-                       "Pistachiohub-Deadline-Ms is not an integer from 1 to 60000",
-                       result.id};
-    result.remaining = std::chrono::milliseconds(*remaining);
     if (head.transmission.occurrences > 0)
     {
         auto const transmission = head.transmission.occurrences == 1
@@ -102,14 +94,29 @@
         if (!transmission)
             return refusal{reason::malformed_http,
                            "Pistachiohub-Transmission is not a positive integer",
-                           result.id};
+                           result.id,
+                           result.id.has_value()};
         result.transmission = *transmission;
     }
+    auto const remaining = head.deadline_ms.occurrences == 1
+                               ? parse_bounded(head.deadline_ms.text, 1, longest_deadline_ms)
+                               : std::nullopt;
+    if (!remaining)
+        return refusal{reason::bad_deadline,
+                       "Pistachiohub-Deadline-Ms is not an integer from 1 to 60000",
+                       result.id,
+                       may_be_resent(result)};
+    result.remaining = std::chrono::milliseconds(*remaining);
     return result;
 }
 
 } // namespace
 
+bool may_be_resent(submission const& submitted)
+{
+    return submitted.id.has_value() && submitted.transmission != 1;
+}
+
 std::optional<std::uint32_t>
 parse_bounded(std::string_view text, std::uint32_t lowest, std::uint32_t highest)
 {
--- a/plugins/front/request_parser.hpp
+++ b/plugins/front/request_parser.hpp
@@ -59,8 +59,13 @@
     std::string_view message;
     /// The request's id if it could be read.
     std::optional<identity::request_id> id;
+    /// True when an earlier transmission of the id may have run, so that `not_run` is not proven.
+    bool may_have_run = false;
 };
 
+/// @returns true unless the caller states that this is the first transmission of its id (rule R6).
+[[nodiscard]] bool may_be_resent(submission const& submitted);
+
 /// What a request asks for.
 using parsed_request = std::variant<lookup_query, submission, refusal>;
 
--- a/plugins/front/response_text.cpp
+++ b/plugins/front/response_text.cpp
@@ -21,6 +21,8 @@
         return "HTTP/1.1 400 Bad Request\r\n";
     case 404:
         return "HTTP/1.1 404 Not Found\r\n";
+    case 410:
+        return "HTTP/1.1 410 Gone\r\n";
     case 504:
         return "HTTP/1.1 504 Gateway Timeout\r\n";
     default:
--- a/standins/caller/history.cpp
+++ b/standins/caller/history.cpp
@@ -58,7 +58,7 @@
 
 void add_answer(json::object& line, finished_call const& call, caller::used_id const& used)
 {
-    if (used.told != outcome::ran)
+    if (used.told != outcome::ran || used.cause != reason::ok)
         return;
     auto const checked = check_answer(call.result.answer, identity::to_string(used.id), call.body);
     line["digest"] = digest(call.result.answer);
@@ -122,7 +122,7 @@
     m_file << lines;
     auto const result = call.result.result;
     ++(result == outcome::ran ? m_ran : result == outcome::not_run ? m_not_run : m_unresolved);
-    if (result != outcome::ran)
+    if (result != outcome::ran || call.result.cause != reason::ok)
         return;
     m_latencies_ms.push_back(std::chrono::duration<double, std::milli>(call.latency).count());
     if (!call_line.at("own").as_bool() || !call_line.at("whole").as_bool())
--- a/tests/front/front_duty_test.cpp
+++ b/tests/front/front_duty_test.cpp
@@ -145,7 +145,8 @@
         {"GET /v1/lookup HTTP/1.1\r\n\r\n", "bad_query"},
         {"GET /v1/lookup?service=x HTTP/1.1\r\n\r\n", "unknown_service"},
         {post("Pistachiohub-Request-Id: x\r\n", ""), "bad_request_id"},
-        {post("Pistachiohub-Request-Id: host-1/1/1/a\r\n", ""), "bad_deadline"},
+        {post("Pistachiohub-Request-Id: host-1/1/1/a\r\nPistachiohub-Transmission: 1\r\n", ""),
+         "bad_deadline"},
         {post("Pistachiohub-Deadline-Ms: 100\r\n", ""), "missing_request_id"}};
     for (auto const& [request, cause] : cases)
     {
--- a/tests/front/request_parser_test.cpp
+++ b/tests/front/request_parser_test.cpp
@@ -140,10 +140,35 @@
     reply.result = outcome::unresolved;
     CHECK(make_reply(&world, events::front_reply(reply), 0).status == 504);
     reply.result = outcome::ran;
+    reply.cause = reason::ok;
     reply.answer = "raw";
     auto const ran = make_reply(&world, events::front_reply(reply), 0);
     CHECK(ran.status == 200);
     CHECK(ran.body == "raw");
 }
 
+// A fenced journal can prove that a request ran, but holds no answer; status 200 with an empty body
+// would pass for the whole answer (I3).
+TEST_CASE("answer_builder_ran_without_answer_is_gone", "[front]")
+{
+    events::front_reply reply{
+        1, {"host-1", 1024, 7, "a"}, outcome::ran, reason::fenced, "", "redeem", false};
+    auto const answer = make_reply(nullptr, std::move(reply), 0);
+    CHECK(answer.status == 410);
+    CHECK(answer.result == outcome::ran);
+    CHECK(boost::json::parse(answer.body).at("reason") == "fenced");
+}
+
+// Another entry host may have run an id that this one refuses, so only the caller's statement that
+// it is the first transmission proves `not_run` (I4).
+TEST_CASE("answer_builder_refusal_of_possible_resend_is_unresolved", "[front]")
+{
+    submission submitted{"redeem", identity::request_id{"host-1", 1024, 7, "a"}, 0, {}};
+    submitted.transmission = GENERATE(0, 1, 2);
+    auto const refused = check_submission(nullptr, submitted);
+    REQUIRE(refused);
+    auto const expected = submitted.transmission == 1 ? outcome::not_run : outcome::unresolved;
+    CHECK(make_refusal(*refused).result == expected);
+}
+
 } // namespace pistachiohub
