forward: Share crash suspicions and keep retries from blocking others

Cause: (1) each daemon counted strikes on its own, so a caller that sent a crashing at-most-once request again at other daemons could take down one more backend server at each. (2) A few requests that wait for a server they have not tried held up untried ones of the same service. Ruled out: counting a suspicion as a quarantine, which would refuse every request that was running when a server crashed. Before / after: a strike is announced in quarantine_notice with the new field backend_server, and two daemons' strikes together quarantine; requests with fewer places wait in groups of their own. A trial with one group fails retried_requests_do_not_block_others.

--- a/libraries/messages/peer_message.hpp
+++ b/libraries/messages/peer_message.hpp
@@ -112,8 +112,11 @@
 {
     std::uint64_t fingerprint = 0;
     std::uint32_t remaining_ms = 0;
-    /// False releases the fingerprint.
+    /// False releases the fingerprint when `remaining_ms` is 0, and is a suspicion otherwise.
     bool is_quarantined = true;
+    /// For a suspicion: the backend server whose connection broke. A suspicion without it, as from
+    /// a codec that does not know this field, has no effect.
+    std::string backend_server;
 };
 
 /// Any message.
--- a/plugins/forward/crash_suspicion.cpp
+++ b/plugins/forward/crash_suspicion.cpp
@@ -13,6 +13,42 @@
 constexpr auto quarantine_ms = static_cast<std::uint32_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(retry::quarantine_time).count());
 
+void announce_quarantine(step& current,
+                         std::uint64_t fingerprint,
+                         std::string_view service,
+                         std::string_view backend_server)
+{
+    note(current,
+         kernel::log_level::warning,
+         "request_quarantined",
+         {{"fingerprint", std::to_string(fingerprint)},
+          {"service", std::string(service)},
+          {"backend_server", std::string(backend_server)}});
+    emit_to_all(current, messages::quarantine_notice{fingerprint, quarantine_ms, true, {}});
+}
+
+/// A fingerprint that is quarantined already was announced as such.
+void announce_suspicion(step& current, std::uint64_t fingerprint, std::string_view backend_server)
+{
+    if (retry::is_quarantined(current.state.quarantine, fingerprint, current.now))
+        return;
+    emit_to_all(current,
+                messages::quarantine_notice{
+                    fingerprint, quarantine_ms, false, std::string(backend_server)});
+}
+
+/// Two daemons may each have seen one of the two breaks. Whichever learns of both announces the
+/// quarantine.
+void apply_suspicion(step& current, messages::quarantine_notice const& notice)
+{
+    if (notice.backend_server.empty())
+        return;
+    auto const is_new = retry::record_broken(
+        current.state.quarantine, notice.fingerprint, notice.backend_server, current.now);
+    if (is_new)
+        announce_quarantine(current, notice.fingerprint, {}, notice.backend_server);
+}
+
 } // namespace
 
 void record_crash(step& current,
@@ -22,19 +58,19 @@
 {
     auto const is_new =
         retry::record_broken(current.state.quarantine, fingerprint, backend_server, current.now);
-    if (!is_new)
-        return;
-    note(current,
-         kernel::log_level::warning,
-         "request_quarantined",
-         {{"fingerprint", std::to_string(fingerprint)},
-          {"service", std::string(service)},
-          {"backend_server", std::string(backend_server)}});
-    emit_to_all(current, messages::quarantine_notice{fingerprint, quarantine_ms, true});
+    if (is_new)
+        announce_quarantine(current, fingerprint, service, backend_server);
+    else
+        announce_suspicion(current, fingerprint, backend_server);
 }
 
 void apply_notice(step& current, messages::quarantine_notice const& notice)
 {
+    if (!notice.is_quarantined && notice.remaining_ms > 0)
+    {
+        apply_suspicion(current, notice);
+        return;
+    }
     // A sender's mistake must not quarantine a request for longer than this daemon would.
     auto const remaining = std::min(notice.remaining_ms, quarantine_ms);
     retry::set_quarantined(current.state.quarantine,
@@ -54,7 +90,7 @@
          kernel::log_level::info,
          "quarantine_released",
          {{"fingerprint", std::to_string(fingerprint)}});
-    emit_to_all(current, messages::quarantine_notice{fingerprint, 0, false});
+    emit_to_all(current, messages::quarantine_notice{fingerprint, 0, false, {}});
 }
 
 } // namespace pistachiohub::forward
--- a/plugins/forward/crash_suspicion.hpp
+++ b/plugins/forward/crash_suspicion.hpp
@@ -13,8 +13,9 @@
 
 struct step;
 
-/// Notes that a backend server broke its connection while it ran a request. A quarantine that this
-/// causes is logged and told to all daemons.
+/// Notes that a backend server broke its connection while it ran a request. All daemons are told of
+/// the suspicion, so that a caller that tries again at another one meets it there, or of the
+/// quarantine that it causes, which is logged.
 void record_crash(step& current,
                   std::uint64_t fingerprint,
                   std::string_view service,
--- a/plugins/forward/placement.cpp
+++ b/plugins/forward/placement.cpp
@@ -164,14 +164,6 @@
     return true;
 }
 
-/// Requests that were tried before, and suspect ones, have fewer places than others.
-bool has_fewer_places(step const& current, request const& subject)
-{
-    if (!subject.attempts.empty())
-        return true;
-    return retry::is_suspect(current.state.quarantine, subject.fingerprint, current.now);
-}
-
 void start_group(step& current, waiting_key const& key)
 {
     std::size_t passed_over = 0;
@@ -189,7 +181,7 @@
         auto& subject = *next->second;
         if (try_place(current, subject))
             continue;
-        if (!has_fewer_places(current, subject))
+        if (!subject.has_fewer_places)
             return;
         ++passed_over;
     }
@@ -199,6 +191,9 @@
 
 void enqueue(step& current, request& subject)
 {
+    subject.has_fewer_places =
+        !subject.attempts.empty() ||
+        retry::is_suspect(current.state.quarantine, subject.fingerprint, current.now);
     push(current.state.queue, subject);
     arm(current.state.requests, subject);
     auto* const excess = find_excess(current.state.queue);
--- a/plugins/forward/placement.hpp
+++ b/plugins/forward/placement.hpp
@@ -10,9 +10,9 @@
 
 struct step;
 
-/// Requests of one service that may be passed over in one search because only they cannot start
-/// now: they have been tried elsewhere, or must run alone.
-inline constexpr std::size_t most_passed_over = 8;
+/// Requests with fewer places than others that are passed over in one search of their group. Each
+/// may be waiting for a different place, so that the search goes on behind them.
+inline constexpr std::size_t most_passed_over = 16;
 
 /// Puts a request into the waiting queue. When that is full, the last in order is refused.
 void enqueue(step& current, request& subject);
--- a/plugins/forward/request_table.hpp
+++ b/plugins/forward/request_table.hpp
@@ -92,6 +92,8 @@
     std::vector<attempt> attempts;
     std::vector<std::string> tried_backend_servers;
     std::vector<std::string> tried_entry_hosts;
+    /// True in the waiting queue when the request was tried before or must run alone.
+    bool has_fewer_places = false;
     request_phase phase = request_phase::queued;
     outcome result = outcome::unresolved;
     reason cause = reason::ok;
--- a/plugins/forward/waiting_queue.cpp
+++ b/plugins/forward/waiting_queue.cpp
@@ -10,7 +10,9 @@
 
 waiting_key key_of(request const& subject)
 {
-    return {subject.kind == configuration::service_kind::at_most_once ? 0 : 1, subject.service};
+    return {subject.kind == configuration::service_kind::at_most_once ? 0 : 1,
+            subject.has_fewer_places ? 0 : 1,
+            subject.service};
 }
 
 } // namespace
@@ -41,7 +43,17 @@
 {
     if (queue.size <= most_queued)
         return nullptr;
-    return queue.groups.rbegin()->second.rbegin()->second;
+    auto const last_kind = std::get<0>(queue.groups.rbegin()->first);
+    request* excess = nullptr;
+    for (auto group = queue.groups.rbegin();
+         group != queue.groups.rend() && std::get<0>(group->first) == last_kind;
+         ++group)
+    {
+        auto* const candidate = group->second.rbegin()->second;
+        if (excess == nullptr || candidate->deadline > excess->deadline)
+            excess = candidate;
+    }
+    return excess;
 }
 
 } // namespace pistachiohub::forward
