--- a/plugins/store/journal_state.cpp
+++ b/plugins/store/journal_state.cpp
@@ -103,6 +103,8 @@
     {
         restore_entries();
         answer_in_flight(false);
+        // Outcomes that wait must not make the same text at once again.
+        m_not_before = now + outcome_delay;
         return std::nullopt;
     }
     m_appended_outcomes_since = std::exchange(m_outcomes_since, std::nullopt);
--- a/plugins/store/store_writer.cpp
+++ b/plugins/store/store_writer.cpp
@@ -4,6 +4,7 @@
 #include "libraries/events/forward_event.hpp"
 #include "libraries/events/store_command.hpp"
 #include "libraries/object_store/object_store.hpp"
+#include "plugins/store/journal_fence.hpp"
 #include "plugins/store/journal_fencer.hpp"
 #include "plugins/store/journal_state.hpp"
 #include "plugins/store/settlement_flush.hpp"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <deque>
 #include <random>
+#include <utility>
 
 namespace pistachiohub::store
 {
@@ -133,7 +135,13 @@
 
     void handle(events::fence_owner const& wanted)
     {
-        m_fences.push_back(wanted.id);
+        bool const is_own = wanted.id.owner == m_context.own_settings().name &&
+                            wanted.id.incarnation == m_context.incarnation();
+        // Closing the own journal would end this daemon's at-most-once work.
+        if (is_own)
+            report_fence(unknown_result(wanted.id));
+        else
+            m_fences.push_back(wanted.id);
     }
 
     void handle(events::flush_settlement& wanted)
@@ -180,6 +188,17 @@
         if (m_fences.empty())
             return;
         auto const result = m_fencer.fence(m_fences.front());
+        m_fences.pop_front();
+        report_fence(result);
+        if (result.cause != reason::owner_unreachable)
+            return;
+        // The store is down for the others as well; each would wait for the timeout in turn.
+        for (auto const& id : std::exchange(m_fences, {}))
+            report_fence(unknown_result(id));
+    }
+
+    void report_fence(events::fence_result const& result)
+    {
         kernel::log_event(log_level::info,
                           area,
                           "owner_fenced",
@@ -187,7 +206,6 @@
                            {"outcome", to_string(result.result)},
                            {"reason", to_string(result.cause)}});
         m_undelivered.emplace_back(result);
-        m_fences.pop_front();
     }
 
     void answer_intents()
--- a/plugins/store/watch_loop.cpp
+++ b/plugins/store/watch_loop.cpp
@@ -14,6 +14,8 @@
 // Each waiting watch is one call to the platform, so long waits keep the rate low.
 constexpr auto watch_wait = std::chrono::milliseconds(20'000);
 constexpr auto role_poll_interval = std::chrono::milliseconds(200);
+// A store that answers a watch at once without need must not be called without pause.
+constexpr auto shortest_poll_interval = std::chrono::milliseconds(50);
 constexpr auto delivery_retry = std::chrono::milliseconds(10);
 
 } // namespace
@@ -62,6 +64,7 @@
 
 void watch_loop::poll()
 {
+    auto const earliest_next = kernel::monotonic_now() + shortest_poll_interval;
     auto const result =
         m_revision ? m_client.watch(m_kind, *m_revision, watch_wait) : m_client.list(m_kind);
     m_context.own_metrics()
@@ -91,6 +94,7 @@
         if (auto const event = m_convert(object))
             deliver(*event);
     }
+    m_signal.wait_until(earliest_next);
 }
 
 void watch_loop::deliver(events::control_event const& event)
--- a/tests/store/store_duties_test.cpp
+++ b/tests/store/store_duties_test.cpp
@@ -252,6 +252,20 @@
     CHECK(receive<events::intent_refused>());
 }
 
+// A daemon that closed its own journal would refuse at-most-once work until it is restarted.
+TEST_CASE_METHOD(duty_fixture,
+                 "store_writer_fence_of_own_id_leaves_journal_open",
+                 "[store][concurrent]")
+{
+    start("store writer");
+    command(events::fence_owner{own_id("x")});
+    auto const result = receive<events::fence_result>();
+    REQUIRE(result);
+    CHECK(result->result == outcome::unresolved);
+    command(events::append_intent{own_id("a")});
+    CHECK(receive<events::intent_durable>());
+}
+
 TEST_CASE_METHOD(duty_fixture,
                  "store_writer_fence_during_outage_is_unresolved",
                  "[store][concurrent]")
