--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -199,7 +199,9 @@
         "calls of each thread; 0: bounded by the duration only");
     add("history", options::value<std::string>()->default_value("/dev/null"), "history file");
     add("prefix", options::value<std::string>()->default_value("c"), "start of the calls' names");
-    add("seed", options::value<std::uint64_t>()->default_value(1), "seed of services and ids");
+    add("seed",
+        options::value<std::uint64_t>()->default_value(1),
+        "seed of services and ids; two runs against the same daemons need two seeds");
     return description;
 }
 
