--- a/tests/check_history_test.py
+++ b/tests/check_history_test.py
@@ -38,7 +38,7 @@
 
 
 class CheckHistoryTest(unittest.TestCase):
-    def check(self, history, log=(), settlement=None, killed=()):
+    def check(self, history, log=(), settlement=None, killed=(), journal=None):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder)
             (path / "history").write_text("".join(json.dumps(line) + "\n" for line in history))
@@ -48,6 +48,10 @@
             if settlement is not None:
                 (path / "settlement").write_text(json.dumps(settlement))
                 command += ["--settlement", str(path / "settlement")]
+            if journal is not None:
+                objects = [{"name": OWNER, "version": 1, "value": {"epochs": {"0": journal}}}]
+                (path / "journal").write_text(json.dumps({"revision": 1, "objects": objects}))
+                command += ["--journal", str(path / "journal")]
             for name in killed:
                 command += ["--killed", name]
             finished = subprocess.run(command, capture_output=True, text=True, check=False)
@@ -131,6 +135,17 @@
         report = self.check(history, [ran("a"), ran("b")], settled(ran=1), killed=["host-2"])
         self.assert_kinds(report, "settlement_ran")
 
+    def test_journal_settles_ids_whose_counters_were_lost(self):
+        history = [told("a", "ran", end_ms=1), told("b", "ran", end_ms=2)]
+        report = self.check(history, [ran("a"), ran("b")], settled(ran=0), killed=["host-1"],
+                            journal={"a": "p", "b": "r"})
+        self.assert_kinds(report)
+        self.assertEqual([item["id"] for item in report["unresolved"]], [make_id("a")])
+
+    def test_journal_that_contradicts_callers_is_found(self):
+        self.assert_kinds(self.check([told("a", "ran")], [ran("a")], journal={"a": "n"}), "journal_outcome")
+        self.assert_kinds(self.check([told("a", "not_run", "deadline")], journal={"a": "r"}), "journal_outcome")
+
     def test_killed_daemon_does_not_explain_too_many_counts(self):
         report = self.check([told("a", "ran")], [ran("a")], settled(ran=3), killed=["host-1"])
         self.assert_kinds(report, "settlement_ran", "settlement_total")
