messages: Carry the backend server of a suspicion

Cause: the forward duty shares the first strike of a crashing request, but the codec had no field for the backend server, so the notice had no effect at other daemons. Ruled out: nothing. Before / after: the codec's round trip test did not compile with the new field; it passes with it.

--- a/libraries/messages/payload_codec.cpp
+++ b/libraries/messages/payload_codec.cpp
@@ -100,7 +100,10 @@
 
 json encode_content(quarantine_notice const& content)
 {
-    return json::array({content.fingerprint, content.remaining_ms, content.is_quarantined});
+    return json::array({content.fingerprint,
+                        content.remaining_ms,
+                        content.is_quarantined,
+                        content.backend_server});
 }
 
 service_credit decode_credit(json const& fields)
@@ -214,11 +217,12 @@
 
 payload decode_quarantine_notice(json const& fields)
 {
-    field_reader reader(fields, 3);
+    field_reader reader(fields, 4);
     quarantine_notice content;
     content.fingerprint = reader.number(any_number);
     content.remaining_ms = reader.number_32();
     content.is_quarantined = reader.flag();
+    content.backend_server = reader.host_name(true);
     return content;
 }
 
--- a/tests/messages/codec_test.cpp
+++ b/tests/messages/codec_test.cpp
@@ -35,7 +35,7 @@
                 messages::relay_cancel{m_id, 2},
                 messages::configuration_request{},
                 messages::configuration_document{12, "{}"},
-                messages::quarantine_notice{~std::uint64_t{0}, 600000, true}};
+                messages::quarantine_notice{~std::uint64_t{0}, 600000, true, "server-1"}};
     }
 
     [[nodiscard]] std::vector<std::byte> encode(messages::payload const& content) const
