tests: Drop an unused count of the simulated fleet

Cause: no test read the number of sent messages. Ruled out: a test of the number of messages, because next_targets is tested for it directly. Conclusion: no change of behaviour.

--- a/tests/membership/fleet.cpp
+++ b/tests/membership/fleet.cpp
@@ -125,7 +125,6 @@
     }
     for (auto& command : daemon.state->take_commands())
     {
-        ++daemon.messages_sent;
         auto const delay = std::chrono::milliseconds(1 + m_random() % 40);
         m_network.emplace(m_now + delay,
                           message_in_flight{daemon.settings.name,
--- a/tests/membership/fleet.hpp
+++ b/tests/membership/fleet.hpp
@@ -30,7 +30,6 @@
     /// True if a published version was ever lower than an earlier one.
     bool has_reverted = false;
     std::size_t publications = 0;
-    std::size_t messages_sent = 0;
 };
 
 /// Delivers messages with random delays, over links that a test may cut.
