messages: Give the new field of quarantine_notice an initializer

Cause: code that names only the earlier fields in braces got the warning missing-field-initializers, which is an error in this build. Ruled out: a new message kind, which every switch over the kinds would have to know at once. Before / after: g++ -Wextra warned for quarantine_notice{1, 2, true}; it does not any more. Conclusion: a compile of that expression is clean; the forward tests pass under AddressSanitizer and UndefinedBehaviorSanitizer.

--- a/libraries/messages/peer_message.hpp
+++ b/libraries/messages/peer_message.hpp
@@ -115,8 +115,9 @@
     /// False releases the fingerprint when `remaining_ms` is 0, and is a suspicion otherwise.
     bool is_quarantined = true;
     /// For a suspicion: the backend server whose connection broke. A suspicion without it, as from
-    /// a codec that does not know this field, has no effect.
-    std::string backend_server;
+    /// a codec that does not know this field, has no effect. The initializer lets code that names
+    /// only the fields before it compile without a warning.
+    std::string backend_server = {};
 };
 
 /// Any message.
