ledger: Fix release build of the settlement report

Cause: g++ 12 with -O2 reports a maybe-uninitialized optional in make_report, which is an error here; the debug build did not show it. Ruled out: switching the warning off for the file. Before / after: the release and ThreadSanitizer builds failed; now both build. Release: 66 cases, 376 assertions pass. ThreadSanitizer: 51 cases with tags [concurrent], [store] or [admin], 275 assertions pass. Conclusion: kept.

--- a/libraries/ledger/settlement_report.cpp
+++ b/libraries/ledger/settlement_report.cpp
@@ -89,11 +89,12 @@
     for (auto const& [text, known] : listed)
     {
         auto const id = identity::parse_request_id(text);
-        auto const result =
-            id && !known.is_counted ? find_in_journals(*id, journals) : std::nullopt;
+        auto result = outcome::unresolved;
+        if (id && !known.is_counted)
+            result = find_in_journals(*id, journals).value_or(outcome::unresolved);
         if (!known.is_counted)
-            ++count_of(report.services[known.service], result.value_or(outcome::unresolved));
-        if (result.value_or(outcome::unresolved) == outcome::unresolved)
+            ++count_of(report.services[known.service], result);
+        if (result == outcome::unresolved)
             report.unresolved.push_back({text, known.service});
     }
     return report;
