config: Test that the deployment documents are valid and agree

Cause: A document that the daemon refuses would only be noticed when an operator installs it. Ruled out: A compile definition for the whole test program, which would rebuild every test.

--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -9,6 +9,9 @@
   standins/backend_server/backend_server.cpp standins/object_store/store.cpp
   PROPERTIES SKIP_PRECOMPILE_HEADERS ON)
 
+set_source_files_properties(tests/standins/deployment_test.cpp PROPERTIES
+  COMPILE_DEFINITIONS PISTACHIOHUB_SOURCE_DIR="${CMAKE_SOURCE_DIR}" SKIP_PRECOMPILE_HEADERS ON)
+
 find_package(Python3 REQUIRED COMPONENTS Interpreter)
 add_test(NAME check_history
   COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/check_history_test.py)
