--- a/tests/front/front_duty_test.cpp
+++ b/tests/front/front_duty_test.cpp
@@ -92,6 +92,15 @@
         return m_context.own_metrics().find_counter(name, {"reason", cause}).value();
     }
 
+    [[nodiscard]] bool eventually_closed(std::string_view cause)
+    {
+        return eventually(
+            [&]()
+            {
+                return counted("pistachiohub_front_connections_closed_total", cause) == 1;
+            });
+    }
+
     [[nodiscard]] bool serves_lookups() const
     {
         return has(ask(lookup_request), "HTTP/1.1 200 OK");
@@ -136,7 +145,8 @@
         {"GET /v1/lookup HTTP/1.1\r\n\r\n", "bad_query"},
         {"GET /v1/lookup?service=x HTTP/1.1\r\n\r\n", "unknown_service"},
         {post("Pistachiohub-Request-Id: x\r\n", ""), "bad_request_id"},
-        {post("Pistachiohub-Request-Id: host-1/1/1/a\r\n", ""), "bad_deadline"},
+        {post("Pistachiohub-Request-Id: host-1/1/1/a\r\nPistachiohub-Transmission: 1\r\n", ""),
+         "bad_deadline"},
         {post("Pistachiohub-Deadline-Ms: 100\r\n", ""), "missing_request_id"}};
     for (auto const& [request, cause] : cases)
     {
@@ -149,6 +159,8 @@
         CHECK(serves_lookups());
     }
     CHECK(m_forward.size() == 0);
+    // A caller would take the body of an answer to HEAD for its next answer.
+    CHECK(has(ask("HEAD /v1/lookup?service=balance HTTP/1.1\r\n\r\n"), "Connection: close"));
 }
 
 TEST_CASE_METHOD(front_fixture, "front_largest_body_and_header_are_accepted", "[front][concurrent]")
@@ -220,11 +232,7 @@
     connection.send(submission("a"));
     auto const request = forwarded();
     connection.close();
-    CHECK(eventually(
-        [&]()
-        {
-            return counted(closed, "caller_gone") == 1;
-        }));
+    CHECK(eventually_closed("caller_gone"));
     reply(request, "late");
     CHECK(eventually(
         [&]()
@@ -291,11 +299,7 @@
     auto reader = connect();
     reader.send(submission("a"));
     reply(forwarded(), std::string(std::size_t{32} * 1024 * 1024, 'x'));
-    CHECK(eventually(
-        [&]()
-        {
-            return counted(closed, "slow_reader") == 1;
-        }));
+    CHECK(eventually_closed("slow_reader"));
     CHECK(counted(closed, "idle") >= 1);
     CHECK(counted(closed, "slow_request") == 1);
     CHECK(serves_lookups());
