--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -16,3 +16,9 @@
 add_test(NAME check_history
   COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/check_history_test.py)
 set_tests_properties(check_history PROPERTIES TIMEOUT 120)
+
+if(NOT PISTACHIOHUB_SANITIZE)
+  add_test(NAME operations_page
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/operations_page_test.py ${CMAKE_BINARY_DIR})
+  set_tests_properties(operations_page PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
+endif()
--- a/utilities/config.cpp
+++ b/utilities/config.cpp
@@ -104,20 +104,16 @@
         "Applies a JSON merge patch (RFC 7396). A patch against a version that is no\n"
         "longer current is refused.");
     options.admin_options().argument("FILE");
-    options.option("against", "version that the patch was made for; default: the current one");
+    options.option("against", "version that the patch was made for; required");
     options.option("patch-id", "id of the patch; default: a random one");
     if (!options.parse(arguments))
         return exit_code::success;
+    // A default of the current version would merge a patch into a version its author never saw.
+    if (!options.has("against"))
+        throw usage_error("--against is required: the version that the patch was made for");
+    auto const against = options.number_or("against", 0);
     auto patch = parse_patch(options.text("FILE"));
     admin_client daemon(options);
-    auto against = options.number_or("against", 0);
-    if (!options.has("against"))
-    {
-        auto const current = daemon.get("/v1/config");
-        if (current.status != http_ok)
-            return report_refusal(current);
-        against = version_of(current.body, "version");
-    }
     auto const id = options.has("patch-id") ? options.text("patch-id") : random_patch_id();
     json::object const body{
         {"against_version", against}, {"patch_id", id}, {"patch", std::move(patch)}};
