membership: Take host lists from peers of the failure domain

Cause: only the k = 2 readers of a failure domain watch the store's host list. Other daemons read it once at their start and kept that list, so they never learned of new or leaving backend servers from it. Ruled out: having every daemon watch the store, since platform calls must not grow with the daemons of a failure domain. The messages of an answer are numbered, because a lost one must not count as known. The heartbeat has one more field, so daemons of older builds refuse it. After the store is restored to lower revisions, non-readers keep their lists until the revisions pass the old ones.

--- a/libraries/events/control_event.hpp
+++ b/libraries/events/control_event.hpp
@@ -42,33 +42,42 @@
     std::shared_ptr<std::string const> text;
 };
 
-/// An entry host in the platform's host list.
-struct listed_entry_host
+using messages::listed_backend_server;
+using messages::listed_entry_host;
+
+/// The host list of one failure domain, from the store.
+struct host_list_received
 {
-    std::string name;
-    std::string address;
-    std::uint16_t caller_port = 0;
-    std::uint16_t peer_port = 0;
-    std::uint16_t admin_port = 0;
-    bool is_leaving = false;
+    std::string failure_domain;
+    std::vector<listed_entry_host> entry_hosts;
+    std::vector<listed_backend_server> backend_servers;
+    /// Store revision at which the list was read.
+    std::uint64_t revision = 0;
 };
 
-/// A backend server in the platform's host list.
-struct listed_backend_server
+/// The host watch has polled the store. Sent after the lists that the poll returned, and of
+/// successive failures only for the first.
+struct host_list_polled
 {
-    std::string name;
-    std::string address;
-    std::uint16_t port = 0;
-    std::string service;
-    bool is_leaving = false;
+    bool is_successful = true;
+    /// Store revision that the poll reached.
+    std::uint64_t revision = 0;
+    /// The store counts revisions from an earlier number. Sent ahead of the lists of the poll.
+    bool is_restored = false;
 };
 
-/// The host list of one failure domain.
-struct host_list_received
+/// A daemon asks for the host lists that changed after a revision.
+struct host_list_wanted
 {
-    std::string failure_domain;
-    std::vector<listed_entry_host> entry_hosts;
-    std::vector<listed_backend_server> backend_servers;
+    std::string requester;
+    std::uint64_t revision = 0;
+};
+
+/// A daemon has sent a host list.
+struct host_list_told
+{
+    std::string sender;
+    messages::host_list list;
 };
 
 /// What an answer or a probe said about a backend server.
@@ -96,6 +105,9 @@
                                    configuration_wanted,
                                    configuration_received,
                                    host_list_received,
+                                   host_list_polled,
+                                   host_list_wanted,
+                                   host_list_told,
                                    backend_observation,
                                    usage_report>;
 
--- a/libraries/messages/payload_codec.cpp
+++ b/libraries/messages/payload_codec.cpp
@@ -4,6 +4,8 @@
 #include "libraries/messages/field_reader.hpp"
 
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace pistachiohub::messages::detail
@@ -42,7 +44,8 @@
                         content.epoch,
                         content.requests_in_flight,
                         std::move(credits),
-                        std::move(members)});
+                        std::move(members),
+                        content.host_list_revision});
 }
 
 json encode_content(submit const& content)
@@ -106,6 +109,38 @@
                         content.backend_server});
 }
 
+json encode_content(host_list_request const& content)
+{
+    return json::array({content.revision});
+}
+
+json encode_content(host_list const& content)
+{
+    // The platform's names are binary: they need be neither host names nor valid UTF-8.
+    auto entry_hosts = json::array();
+    for (auto const& host : content.entry_hosts)
+        entry_hosts.push_back(json::array({binary(host.name),
+                                           binary(host.address),
+                                           host.caller_port,
+                                           host.peer_port,
+                                           host.admin_port,
+                                           host.is_leaving}));
+    auto backend_servers = json::array();
+    for (auto const& server : content.backend_servers)
+        backend_servers.push_back(json::array({binary(server.name),
+                                               binary(server.address),
+                                               server.port,
+                                               binary(server.service),
+                                               server.is_leaving}));
+    return json::array({content.revision,
+                        binary(content.failure_domain),
+                        std::move(entry_hosts),
+                        std::move(backend_servers),
+                        content.reached_revision,
+                        content.position,
+                        content.count});
+}
+
 service_credit decode_credit(json const& fields)
 {
     field_reader reader(fields, 2);
@@ -128,9 +163,39 @@
     return member;
 }
 
-payload decode_heartbeat(json const& fields)
+std::uint16_t read_port(field_reader& reader)
+{
+    return static_cast<std::uint16_t>(reader.number(std::numeric_limits<std::uint16_t>::max()));
+}
+
+listed_entry_host decode_entry_host(json const& fields)
+{
+    field_reader reader(fields, 6);
+    listed_entry_host host;
+    host.name = reader.bytes(longest_listed_name);
+    host.address = reader.bytes(longest_listed_name);
+    host.caller_port = read_port(reader);
+    host.peer_port = read_port(reader);
+    host.admin_port = read_port(reader);
+    host.is_leaving = reader.flag();
+    return host;
+}
+
+listed_backend_server decode_backend_server(json const& fields)
 {
     field_reader reader(fields, 5);
+    listed_backend_server server;
+    server.name = reader.bytes(longest_listed_name);
+    server.address = reader.bytes(longest_listed_name);
+    server.port = read_port(reader);
+    server.service = reader.bytes(longest_listed_name);
+    server.is_leaving = reader.flag();
+    return server;
+}
+
+payload decode_heartbeat(json const& fields)
+{
+    field_reader reader(fields, 6);
     heartbeat content;
     content.is_leaving = reader.flag();
     content.epoch = reader.number_32();
@@ -139,6 +204,7 @@
         content.credits.push_back(decode_credit(credit));
     for (auto const& member : reader.items(most_items))
         content.members.push_back(decode_member(member));
+    content.host_list_revision = reader.number(any_number);
     return content;
 }
 
@@ -226,16 +292,40 @@
     return content;
 }
 
+payload decode_host_list_request(json const& fields)
+{
+    field_reader reader(fields, 1);
+    return host_list_request{reader.number(any_number)};
+}
+
+payload decode_host_list(json const& fields)
+{
+    field_reader reader(fields, 7);
+    host_list content;
+    content.revision = reader.number(any_number);
+    content.failure_domain = reader.bytes(longest_listed_name);
+    for (auto const& host : reader.items(most_listed_items))
+        content.entry_hosts.push_back(decode_entry_host(host));
+    for (auto const& server : reader.items(most_listed_items))
+        content.backend_servers.push_back(decode_backend_server(server));
+    content.reached_revision = reader.number(any_number);
+    content.position = reader.number_32();
+    content.count = reader.number_32();
+    return content;
+}
+
 // In the order of the alternatives of `payload`.
-constexpr std::array<payload (*)(json const&), 9> decoders{decode_heartbeat,
-                                                           decode_submit,
-                                                           decode_submit_reply,
-                                                           decode_relay,
-                                                           decode_relay_reply,
-                                                           decode_relay_cancel,
-                                                           decode_configuration_request,
-                                                           decode_configuration_document,
-                                                           decode_quarantine_notice};
+constexpr std::array<payload (*)(json const&), 11> decoders{decode_heartbeat,
+                                                            decode_submit,
+                                                            decode_submit_reply,
+                                                            decode_relay,
+                                                            decode_relay_reply,
+                                                            decode_relay_cancel,
+                                                            decode_configuration_request,
+                                                            decode_configuration_document,
+                                                            decode_quarantine_notice,
+                                                            decode_host_list_request,
+                                                            decode_host_list};
 static_assert(decoders.size() == std::variant_size_v<payload>);
 
 } // namespace
--- a/libraries/messages/payload_codec.hpp
+++ b/libraries/messages/payload_codec.hpp
@@ -19,6 +19,12 @@
 /// Most credits and member summaries in a heartbeat.
 inline constexpr std::size_t most_items = 4096;
 
+/// Longest name, address or service in a host list, in bytes.
+inline constexpr std::size_t longest_listed_name = 1024;
+/// Most entry hosts and most backend servers in a host list: an object of the platform's API of
+/// 1 MiB holds no more.
+inline constexpr std::size_t most_listed_items = 16384;
+
 /// @returns the fields of a payload as an array.
 [[nodiscard]] nlohmann::json encode_payload(payload const& content);
 
--- a/libraries/messages/peer_message.hpp
+++ b/libraries/messages/peer_message.hpp
@@ -42,6 +42,8 @@
     std::vector<service_credit> credits;
     /// Other hosts, as summarised by a failure domain's readers.
     std::vector<member_summary> members;
+    /// Highest store revision up to which the sender knows the host list.
+    std::uint64_t host_list_revision = 0;
 };
 
 /// A re-sent request on its way to its owner.
@@ -119,6 +121,56 @@
     std::string backend_server;
 };
 
+/// An entry host in the platform's host list.
+struct listed_entry_host
+{
+    std::string name;
+    std::string address;
+    std::uint16_t caller_port = 0;
+    std::uint16_t peer_port = 0;
+    std::uint16_t admin_port = 0;
+    bool is_leaving = false;
+
+    bool operator==(listed_entry_host const& other) const = default;
+};
+
+/// A backend server in the platform's host list.
+struct listed_backend_server
+{
+    std::string name;
+    std::string address;
+    std::uint16_t port = 0;
+    std::string service;
+    bool is_leaving = false;
+
+    bool operator==(listed_backend_server const& other) const = default;
+};
+
+/// Asks a daemon of the own failure domain for the host lists that changed after a revision.
+struct host_list_request
+{
+    /// Store revision up to which the sender knows the host list.
+    std::uint64_t revision = 0;
+};
+
+/// The host list of one failure domain, as part of an answer to `host_list_request` or unasked.
+struct host_list
+{
+    /// Store revision at which the list was read.
+    std::uint64_t revision = 0;
+    /// Empty in an answer without lists.
+    std::string failure_domain;
+    std::vector<listed_entry_host> entry_hosts;
+    std::vector<listed_backend_server> backend_servers;
+    /// Store revision that the receiver of the whole answer knows the host list up to.
+    std::uint64_t reached_revision = 0;
+    /// Number of the message in its answer, from 1, and messages in the answer; both 0 when the
+    /// list was not asked for. Messages may be lost, so a receiver counts an answer as whole only
+    /// when it got all of them.
+    std::uint32_t position = 0;
+    std::uint32_t count = 0;
+};
+
 /// Any message.
 using payload = std::variant<heartbeat,
                              submit,
@@ -128,7 +180,9 @@
                              relay_cancel,
                              configuration_request,
                              configuration_document,
-                             quarantine_notice>;
+                             quarantine_notice,
+                             host_list_request,
+                             host_list>;
 
 /// A message with what every message carries.
 struct envelope
--- a/plugins/membership/control_state.cpp
+++ b/plugins/membership/control_state.cpp
@@ -155,6 +155,8 @@
                                                   now);
     if (is_behind)
         m_commands.push_back({heard.sender, 0, messages::configuration_request{}});
+    if (heard.beat)
+        request_lists(heard.sender, heard.beat->host_list_revision, now);
 }
 
 void control_state::on(events::configuration_wanted const& wanted, kernel::monotonic_time)
@@ -177,6 +179,46 @@
 }
 
 void control_state::on(events::host_list_received const& list, kernel::monotonic_time now)
+{
+    auto const news = accept_list(m_host_lists, list);
+    if (news == list_news::older)
+        return;
+    apply_list(list, now);
+    if (news == list_news::changed && list.failure_domain == m_settings.failure_domain)
+        send_own_list(list);
+}
+
+void control_state::on(events::host_list_polled const& poll, kernel::monotonic_time)
+{
+    m_is_watch_working = poll.is_successful;
+    apply_poll(m_host_lists, poll);
+}
+
+void control_state::on(events::host_list_wanted const& wanted, kernel::monotonic_time)
+{
+    // Backend servers are held only for the own failure domain.
+    if (!is_in_own_domain(wanted.requester))
+        return;
+    for (auto& list : make_answer(m_host_lists, m_settings.failure_domain, wanted.revision))
+        m_commands.push_back({wanted.requester, 0, std::move(list)});
+}
+
+void control_state::on(events::host_list_told const& told, kernel::monotonic_time now)
+{
+    if (!is_in_own_domain(told.sender))
+        return;
+    auto const& content = told.list;
+    if (!content.failure_domain.empty())
+    {
+        events::host_list_received const list{
+            content.failure_domain, content.entry_hosts, content.backend_servers, content.revision};
+        if (accept_list(m_host_lists, list) == list_news::changed)
+            apply_list(list, now);
+    }
+    apply_answer(m_host_lists, told.sender, content);
+}
+
+void control_state::apply_list(events::host_list_received const& list, kernel::monotonic_time now)
 {
     apply_host_list(m_members, list, now);
     m_limits = find_limits(m_members, m_settings.failure_domain);
@@ -203,6 +245,33 @@
     m_usage_at = now;
 }
 
+void control_state::send_own_list(events::host_list_received const& list)
+{
+    auto const message = make_list_message(list);
+    for (auto const& host : m_members.members)
+    {
+        if (host.failure_domain == m_settings.failure_domain)
+            m_commands.push_back({host.name, 0, message});
+    }
+}
+
+void control_state::request_lists(std::string const& peer,
+                                  std::uint64_t revision,
+                                  kernel::monotonic_time now)
+{
+    bool const reads_store = m_is_reader && m_is_watch_working;
+    if (reads_store || !is_in_own_domain(peer))
+        return;
+    if (should_request_lists(m_host_lists, peer, revision, now))
+        m_commands.push_back({peer, 0, messages::host_list_request{m_host_lists.revision}});
+}
+
+bool control_state::is_in_own_domain(std::string_view peer)
+{
+    auto const* const host = find_member(m_members, peer);
+    return host != nullptr && host->failure_domain == m_settings.failure_domain;
+}
+
 void control_state::check_pause(kernel::monotonic_time now)
 {
     auto const gap = now - m_last_call;
@@ -250,6 +319,7 @@
     if (is_now == m_is_reader)
         return;
     m_is_reader = is_now;
+    m_is_watch_working = false;
     note("reader_role_changed", m_settings.name, is_now ? "reader" : "not reader");
 }
 
@@ -346,6 +416,7 @@
     beat.is_leaving = m_is_draining;
     beat.epoch = m_epoch;
     beat.requests_in_flight = m_usage.requests_in_flight;
+    beat.host_list_revision = m_host_lists.revision;
     if (m_is_reader && !m_limits.is_direct)
         beat.members = choose_summaries(m_members, m_summary_turns, now);
     return beat;
--- a/plugins/membership/control_state.hpp
+++ b/plugins/membership/control_state.hpp
@@ -7,6 +7,7 @@
 #include "libraries/events/control_event.hpp"
 #include "libraries/events/peer_command.hpp"
 #include "plugins/config/acceptance.hpp"
+#include "plugins/membership/host_lists.hpp"
 #include "plugins/membership/members.hpp"
 #include "plugins/membership/roles.hpp"
 #include "plugins/membership/servers.hpp"
@@ -72,9 +73,16 @@
     void on(events::configuration_wanted const& wanted, kernel::monotonic_time now);
     void on(events::configuration_received const& received, kernel::monotonic_time now);
     void on(events::host_list_received const& list, kernel::monotonic_time now);
+    void on(events::host_list_polled const& poll, kernel::monotonic_time now);
+    void on(events::host_list_wanted const& wanted, kernel::monotonic_time now);
+    void on(events::host_list_told const& told, kernel::monotonic_time now);
     void on(events::backend_observation const& observation, kernel::monotonic_time now);
     void on(events::usage_report const& report, kernel::monotonic_time now);
 
+    void apply_list(events::host_list_received const& list, kernel::monotonic_time now);
+    void send_own_list(events::host_list_received const& list);
+    void request_lists(std::string const& peer, std::uint64_t revision, kernel::monotonic_time now);
+    [[nodiscard]] bool is_in_own_domain(std::string_view peer);
     void check_pause(kernel::monotonic_time now);
     void check_states(kernel::monotonic_time now);
     void check_role(kernel::monotonic_time now);
@@ -104,6 +112,9 @@
 
     config::held_configuration m_held;
     config::request_times m_request_times;
+    held_host_lists m_host_lists;
+    /// False until the first poll in the present role, and after a failed one.
+    bool m_is_watch_working = false;
     member_table m_members;
     server_table m_servers;
     silence_limits m_limits;
--- a/plugins/peer/peer_duty.cpp
+++ b/plugins/peer/peer_duty.cpp
@@ -23,15 +23,17 @@
 constexpr int most_in_turn = 256;
 
 // In the order of the alternatives of `messages::payload`.
-constexpr std::array<std::string_view, 9> kind_names{"heartbeat",
-                                                     "submit",
-                                                     "submit_reply",
-                                                     "relay",
-                                                     "relay_reply",
-                                                     "relay_cancel",
-                                                     "configuration_request",
-                                                     "configuration_document",
-                                                     "quarantine_notice"};
+constexpr std::array<std::string_view, 11> kind_names{"heartbeat",
+                                                      "submit",
+                                                      "submit_reply",
+                                                      "relay",
+                                                      "relay_reply",
+                                                      "relay_cancel",
+                                                      "configuration_request",
+                                                      "configuration_document",
+                                                      "quarantine_notice",
+                                                      "host_list_request",
+                                                      "host_list"};
 static_assert(kind_names.size() == std::variant_size_v<messages::payload>);
 
 std::unique_ptr<kernel::duty> create(kernel::daemon_context& context)
@@ -248,6 +250,11 @@
                 tell_control(events::configuration_wanted{message.sender});
             else if constexpr (std::is_same_v<content_type, messages::configuration_document>)
                 handle_document(content);
+            else if constexpr (std::is_same_v<content_type, messages::host_list_request>)
+                tell_control(events::host_list_wanted{message.sender, content.revision});
+            else if constexpr (std::is_same_v<content_type, messages::host_list>)
+                tell_control(events::host_list_told{message.sender,
+                                                    std::forward<decltype(content)>(content)});
             else if constexpr (!std::is_same_v<content_type, messages::heartbeat>)
                 tell_forward(
                     events::peer_request_message{message.sender,
@@ -280,7 +287,7 @@
 
 void peer_duty::tell_control(events::control_event&& event)
 {
-    // Peers repeat heartbeats and requests for the configuration.
+    // Peers repeat heartbeats and requests, and an answer with a lost message is asked for again.
     if (!m_control.try_push(std::move(event)))
         count("pistachiohub_peer_messages_dropped_total", "duty", "control");
 }
--- a/plugins/store/watch_loop.cpp
+++ b/plugins/store/watch_loop.cpp
@@ -20,10 +20,14 @@
 
 } // namespace
 
-watch_loop::watch_loop(kernel::daemon_context& context, std::string kind, convert_function convert)
+watch_loop::watch_loop(kernel::daemon_context& context,
+                       std::string kind,
+                       convert_function convert,
+                       bool reports_polls)
     : m_context(context)
     , m_kind(std::move(kind))
     , m_convert(std::move(convert))
+    , m_reports_polls(reports_polls)
     , m_role(context.shared<kernel::snapshot<events::reader_role>>())
     , m_control(context.shared<kernel::mailbox<events::control_event>>())
     , m_client(context.own_settings().store)
@@ -79,6 +83,8 @@
                               "store",
                               "watch_failed",
                               {{"kind", m_kind}, {"result", to_string(result.end)}});
+        if (m_failures == 1)
+            report({false, 0, false});
         wait(delay);
         return;
     }
@@ -86,17 +92,28 @@
     // A store that was restored from a backup counts revisions from an earlier number.
     bool const is_restored = m_revision && result.revision < *m_revision;
     if (is_restored)
+    {
         m_revision.reset();
+        report({true, result.revision, true});
+    }
     else
         m_revision = result.revision;
     for (auto const& object : result.objects)
     {
-        if (auto const event = m_convert(object))
+        if (auto const event = m_convert(object, result.revision))
             deliver(*event);
     }
+    if (!is_restored)
+        report({true, result.revision, false});
     m_signal.wait_until(earliest_next);
 }
 
+void watch_loop::report(events::host_list_polled const& poll)
+{
+    if (m_reports_polls)
+        deliver(poll);
+}
+
 void watch_loop::deliver(events::control_event const& event)
 {
     while (!m_signal.is_stopping())
--- a/plugins/store/watch_loop.hpp
+++ b/plugins/store/watch_loop.hpp
@@ -23,11 +23,16 @@
 class watch_loop : public kernel::duty
 {
 public:
-    /// Turns an object into a message to the control duty, or nothing when it is not valid.
-    using convert_function =
-        std::function<std::optional<events::control_event>(object_store::object const&)>;
+    /// Turns an object, read at a store revision, into a message to the control duty, or nothing
+    /// when it is not valid.
+    using convert_function = std::function<std::optional<events::control_event>(
+        object_store::object const&, std::uint64_t revision)>;
 
-    watch_loop(kernel::daemon_context& context, std::string kind, convert_function convert);
+    /// @param reports_polls whether the control duty gets `host_list_polled`.
+    watch_loop(kernel::daemon_context& context,
+               std::string kind,
+               convert_function convert,
+               bool reports_polls);
 
     void run() override;
     void request_stop() override;
@@ -35,12 +40,14 @@
 private:
     [[nodiscard]] bool is_reader();
     void poll();
+    void report(events::host_list_polled const& poll);
     void deliver(events::control_event const& event);
     void wait(kernel::duration delay);
 
     kernel::daemon_context& m_context;
     std::string m_kind;
     convert_function m_convert;
+    bool m_reports_polls;
     kernel::snapshot_reader<events::reader_role> m_role;
     kernel::mailbox<events::control_event>& m_control;
     object_store::client m_client;
--- a/plugins/store/watches.cpp
+++ b/plugins/store/watches.cpp
@@ -22,7 +22,8 @@
                       {{"name", refused.name}, {"version", refused.version}, {"error", error}});
 }
 
-optional_event to_configuration(kernel::daemon_context& context, object const& changed)
+optional_event
+to_configuration(kernel::daemon_context& context, object const& changed, std::uint64_t /*revision*/)
 {
     if (changed.name != "current")
         return std::nullopt;
@@ -42,7 +43,8 @@
     return std::nullopt;
 }
 
-optional_event to_host_list(kernel::daemon_context& context, object const& changed)
+optional_event
+to_host_list(kernel::daemon_context& context, object const& changed, std::uint64_t revision)
 {
     bool const is_own = changed.name == context.own_settings().failure_domain;
     try
@@ -50,6 +52,7 @@
         auto parsed = parse_host_list(changed.name, changed.value, is_own);
         if (parsed.skipped > 0)
             report_invalid(context, changed, std::to_string(parsed.skipped) + " entries left out");
+        parsed.list.revision = revision;
         return std::move(parsed.list);
     }
     catch (host_list_error const& refused)
@@ -59,25 +62,28 @@
     return std::nullopt;
 }
 
-template<optional_event (*convert)(kernel::daemon_context&, object const&)>
-std::unique_ptr<kernel::duty> create_watch(kernel::daemon_context& context, std::string kind)
+template<optional_event (*convert)(kernel::daemon_context&, object const&, std::uint64_t)>
+std::unique_ptr<kernel::duty>
+create_watch(kernel::daemon_context& context, std::string kind, bool reports_polls)
 {
-    return std::make_unique<watch_loop>(context,
-                                        std::move(kind),
-                                        [&context](object const& changed)
-                                        {
-                                            return convert(context, changed);
-                                        });
+    return std::make_unique<watch_loop>(
+        context,
+        std::move(kind),
+        [&context](object const& changed, std::uint64_t revision)
+        {
+            return convert(context, changed, revision);
+        },
+        reports_polls);
 }
 
 std::unique_ptr<kernel::duty> create_configuration_watch(kernel::daemon_context& context)
 {
-    return create_watch<to_configuration>(context, "configuration");
+    return create_watch<to_configuration>(context, "configuration", false);
 }
 
 std::unique_ptr<kernel::duty> create_host_watch(kernel::daemon_context& context)
 {
-    return create_watch<to_host_list>(context, "hosts");
+    return create_watch<to_host_list>(context, "hosts", true);
 }
 
 kernel::registration const
--- a/tests/membership/control_state_test.cpp
+++ b/tests/membership/control_state_test.cpp
@@ -51,6 +51,31 @@
                                                   }));
 }
 
+std::vector<std::string> find_readers(fleet& hosts, std::string const& domain, bool is_reader)
+{
+    std::vector<std::string> names;
+    for (auto const& name : hosts.names())
+    {
+        auto const& daemon = hosts.at(name);
+        if (daemon.settings.failure_domain == domain && daemon.state->is_reader() == is_reader)
+            names.push_back(name);
+    }
+    return names;
+}
+
+member_state server_state(fleet& hosts, std::string const& observer, std::string const& server)
+{
+    auto const& servers = hosts.at(observer).world->backend_servers;
+    auto const found = std::find_if(servers.begin(),
+                                    servers.end(),
+                                    [&server](auto const& candidate)
+                                    {
+                                        return candidate.name == server;
+                                    });
+    REQUIRE(found != servers.end());
+    return found->state;
+}
+
 } // namespace
 
 // A killed daemon's slots must pass to its siblings, and callers must not be sent to it.
@@ -260,6 +285,7 @@
     auto& state = *hosts.at("a-1-h1").state;
     events::host_list_received list;
     list.failure_domain = "a-1";
+    list.revision = 2;
     list.entry_hosts.push_back({"a-1-h2", "10.0.0.1", 1, 2, 3, true});
     state.handle(list, hosts.now());
     hosts.advance(200ms);
@@ -365,6 +391,144 @@
     CHECK(hosts.at("a-1-h1").publications - before <= 3);
 }
 
+// A daemon that does not read the store would keep sending requests to a leaving server.
+TEST_CASE("control_state_non_reader_learns_of_leaving_server_in_two_seconds", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 11));
+    fleet hosts({"a-1", "b-1"}, 4, static_cast<std::uint64_t>(seed));
+    hosts.advance(8s);
+    auto const readers = find_readers(hosts, "a-1", true);
+    auto const others = find_readers(hosts, "a-1", false);
+    REQUIRE(readers.size() == 2);
+    REQUIRE(others.size() == 2);
+    hosts.list_leaving("a-1-s1");
+    for (auto const& name : readers)
+        hosts.poll_store(name, "a-1");
+    hosts.advance(2s);
+    for (auto const& name : others)
+    {
+        CHECK(hosts.at(name).store_polls == 1);
+        CHECK(server_state(hosts, name, "a-1-s1") == member_state::leaving);
+        CHECK(server_state(hosts, name, "a-1-s2") == member_state::live);
+    }
+}
+
+// A non-reader that missed the readers' message would keep the old list for ever.
+TEST_CASE("control_state_non_reader_catches_up_with_list_after_cut", "[membership]")
+{
+    auto const seed = GENERATE(range(1, 11));
+    fleet hosts({"a-1", "b-1"}, 3, static_cast<std::uint64_t>(seed));
+    hosts.advance(8s);
+    auto const readers = find_readers(hosts, "a-1", true);
+    REQUIRE(readers.size() == 2);
+    auto const other = find_readers(hosts, "a-1", false).at(0);
+    hosts.is_connected = [&other, &readers](std::string const& sender, std::string const& recipient)
+    {
+        auto const is_reader = [&readers](std::string const& name)
+        {
+            return std::find(readers.begin(), readers.end(), name) != readers.end();
+        };
+        return !(sender == other && is_reader(recipient)) &&
+               !(recipient == other && is_reader(sender));
+    };
+    hosts.list_leaving("a-1-s1");
+    for (auto const& name : readers)
+        hosts.poll_store(name, "a-1");
+    hosts.advance(2s);
+    CHECK(server_state(hosts, other, "a-1-s1") == member_state::live);
+    hosts.is_connected = [](std::string const&, std::string const&)
+    {
+        return true;
+    };
+    hosts.advance(2s);
+    CHECK(server_state(hosts, other, "a-1-s1") == member_state::leaving);
+    CHECK(hosts.at(other).store_polls == 1);
+}
+
+// Polls without changes raise the revision, which must cost one exchange and no more.
+TEST_CASE("control_state_unchanged_list_is_not_asked_for_again", "[membership]")
+{
+    fleet hosts({"a-1", "b-1"}, 3, 3);
+    hosts.advance(8s);
+    auto& other = hosts.at(find_readers(hosts, "a-1", false).at(0));
+    auto const before = other.list_requests_sent;
+    hosts.list_leaving("c-1-s1");
+    for (auto const& name : find_readers(hosts, "a-1", true))
+        hosts.poll_store(name);
+    hosts.advance(10s);
+    auto const requests = other.list_requests_sent - before;
+    CHECK(requests >= 1);
+    CHECK(requests <= 2);
+}
+
+// Lists reach a daemon by several ways and in any order; a late one must not bring back a server.
+TEST_CASE("control_state_older_list_never_replaces_newer", "[membership]")
+{
+    fleet hosts({"a-1"}, 3, 4);
+    hosts.advance(2s);
+    auto& state = *hosts.at("a-1-h1").state;
+    auto const send = [&hosts, &state](std::uint64_t revision, bool is_leaving, bool is_from_store)
+    {
+        events::host_list_received list{
+            "a-1", {}, {{"a-1-s1", "10.0.1.1", 80, "balance", is_leaving}}, revision};
+        if (is_from_store)
+            state.handle(list, hosts.now());
+        else
+            state.handle(events::host_list_told{"a-1-h2", membership::make_list_message(list)},
+                         hosts.now());
+        events::backend_observation answer;
+        answer.backend_server = "a-1-s1";
+        answer.observed_at = hosts.now() + membership::return_delay;
+        state.handle(answer, hosts.now());
+        hosts.advance(200ms);
+        return server_state(hosts, "a-1-h1", "a-1-s1");
+    };
+    CHECK(send(20, true, false) == member_state::leaving);
+    CHECK(send(19, false, false) == member_state::leaving);
+    CHECK(send(19, false, true) == member_state::leaving);
+    CHECK(send(21, false, false) == member_state::live);
+    CHECK(send(22, true, true) == member_state::leaving);
+    CHECK(send(21, false, false) == member_state::leaving);
+}
+
+// After a restoration the store counts revisions from an earlier number, and its lists are newer
+// than what is held although their revisions are lower.
+TEST_CASE("held_host_lists_restored_store_replaces_lists", "[membership]")
+{
+    membership::held_host_lists held;
+    CHECK(membership::accept_list(held, {"a-1", {}, {}, 20}) == membership::list_news::changed);
+    membership::apply_poll(held, {true, 20, false});
+    events::host_list_received const restored{"a-1", {}, {{"s", "10.0.1.1", 80, "x", false}}, 3};
+    CHECK(membership::accept_list(held, restored) == membership::list_news::older);
+    membership::apply_poll(held, {true, 3, true});
+    CHECK(membership::accept_list(held, restored) == membership::list_news::changed);
+}
+
+// A lost message of an answer must be asked for again, not counted as known.
+TEST_CASE("apply_answer_with_lost_message_does_not_raise_revision", "[membership]")
+{
+    membership::held_host_lists sender;
+    for (auto const* const domain : {"a-1", "b-1", "c-1"})
+        CHECK(membership::accept_list(sender, {domain, {}, {}, 7}) ==
+              membership::list_news::changed);
+    membership::apply_poll(sender, {true, 9, false});
+    auto const answer = membership::make_answer(sender, "b-1", 5);
+    REQUIRE(answer.size() == 3);
+    CHECK(answer[0].failure_domain == "b-1");
+    for (std::size_t lost = 0; lost <= answer.size(); ++lost)
+    {
+        membership::held_host_lists receiver;
+        for (std::size_t position = 0; position < answer.size(); ++position)
+        {
+            if (position != lost)
+                membership::apply_answer(receiver, "peer", answer[position]);
+        }
+        CHECK(receiver.revision == (lost == answer.size() ? 9 : 0));
+    }
+    CHECK(membership::make_answer(sender, "b-1", 8).size() == 1);
+    CHECK(membership::make_answer(sender, "b-1", 9).empty());
+}
+
 // Seed peers are the only way to a configuration while the store is down.
 TEST_CASE("control_state_seed_peer_is_known_before_host_list", "[membership]")
 {
--- a/tests/membership/fleet.hpp
+++ b/tests/membership/fleet.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     bool has_reverted = false;
     std::size_t publications = 0;
     std::size_t messages_sent = 0;
+    std::size_t list_requests_sent = 0;
+    std::size_t store_polls = 0;
 };
 
 /// Delivers messages with random delays, over links that a test may cut.
@@ -45,7 +48,12 @@
     void kill(std::string const& name);
     void advance(kernel::duration time);
     void publish_configuration(std::string const& name, std::uint64_t version);
+    /// Reads all host lists from the simulated store.
     void send_host_list(std::string const& name);
+    /// Lists a backend server as leaving, at the store's next revision.
+    void list_leaving(std::string const& backend_server);
+    /// Polls the simulated store with an empty result or with the list of `domain`.
+    void poll_store(std::string const& name, std::string const& domain = {});
 
     [[nodiscard]] simulated_daemon& at(std::string const& name);
     [[nodiscard]] std::vector<std::string> names() const;
@@ -78,6 +86,8 @@
     std::mt19937_64 m_random;
     kernel::monotonic_time m_now{std::chrono::hours(1)};
     std::uint64_t m_next_incarnation = 1;
+    std::uint64_t m_revision = 1;
+    std::set<std::string> m_leaving_servers;
 };
 
 } // namespace pistachiohub::testing
--- a/tests/store/store_duties_test.cpp
+++ b/tests/store/store_duties_test.cpp
@@ -156,12 +156,32 @@
     REQUIRE(received->entry_hosts.size() == 1);
     CHECK(received->entry_hosts[0].is_leaving);
     CHECK(received->backend_servers.size() == 1);
+    CHECK(received->revision > 0);
     std::this_thread::sleep_for(50ms);
     auto const start_of_stop = std::chrono::steady_clock::now();
     stop();
     CHECK(std::chrono::steady_clock::now() - start_of_stop < 200ms);
 }
 
+// Without the revision of an empty poll, a list without changes is asked for again and again.
+// Without the failure, a reader that is cut off from the store does not ask its peers.
+TEST_CASE_METHOD(duty_fixture,
+                 "host_watch_reports_polls_without_lists_and_failures",
+                 "[store][concurrent]")
+{
+    m_store.put("configuration", "current", document);
+    start("host watch");
+    auto const polled = receive<events::host_list_polled, events::control_event>();
+    REQUIRE(polled);
+    CHECK(polled->is_successful);
+    CHECK(polled->revision > 0);
+    m_store.is_down = true;
+    m_store.put("hosts", "fd-1", "{}");
+    auto const failed = receive<events::host_list_polled, events::control_event>();
+    REQUIRE(failed);
+    CHECK_FALSE(failed->is_successful);
+}
+
 TEST_CASE_METHOD(duty_fixture,
                  "configuration_watch_of_non_reader_makes_no_call",
                  "[store][concurrent]")
