demo: Play faults on separate processes

Cause: these faults were caused at the interfaces and in simulated time only. Ruled out: a looser judgement; meta/check-history is unchanged. Cuts between failure domains, faults together and a burst on a journaled service remain unproved.

--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -16,3 +16,23 @@
 add_test(NAME check_history
   COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/check_history_test.py)
 set_tests_properties(check_history PROPERTIES TIMEOUT 120)
+
+# Runs of separate processes. meta/demo starts the programs of build/release, so only this build runs them.
+# The base ports lie below the usual range of ephemeral ports.
+if(NOT PISTACHIOHUB_SANITIZE AND CMAKE_BINARY_DIR STREQUAL "${CMAKE_SOURCE_DIR}/build/release")
+  function(add_demo_test name base_port)
+    add_test(NAME demo_${name}
+      COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo --no-build --base-port ${base_port} ${ARGN})
+    set_tests_properties(demo_${name} PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
+  endfunction()
+  add_demo_test(bokgava 30000 --deployment bokgava --seconds 5)
+  add_demo_test(teranga 30200 --deployment teranga --seconds 5)
+  add_demo_test(kill 30400 --kill gotaland-1-a --seconds 5)
+  add_demo_test(freeze 30600 --fault freeze --seconds 2)
+  add_demo_test(store_outage 30800 --fault store-outage --seconds 2)
+  add_demo_test(slow_store 31000 --fault slow-store --seconds 2)
+  add_demo_test(lost_answers 31200 --fault lost-answers --seconds 2)
+  add_demo_test(crashing_request 31400 --fault crashing-request --seconds 2)
+  add_demo_test(rolling 31600 --fault rolling --seconds 2)
+  add_demo_test(burst 31800 --fault burst --seconds 2)
+endif()
