--- a/kernel/daemon.cpp
+++ b/kernel/daemon.cpp
@@ -20,7 +20,6 @@
 namespace
 {
 
-constexpr unsigned random_bits = 10;
 constexpr auto signal_poll_interval = std::chrono::milliseconds(20);
 // Linux limits the name of a thread to 15 characters.
 constexpr std::size_t longest_thread_name = 15;
@@ -117,7 +116,8 @@
 std::uint64_t new_incarnation()
 {
     std::random_device device;
-    return (wall_clock_ms() << random_bits) | (device() & ((1U << random_bits) - 1));
+    constexpr auto random_mask = (1U << incarnation_random_bits) - 1;
+    return (wall_clock_ms() << incarnation_random_bits) | (device() & random_mask);
 }
 
 } // namespace pistachiohub::kernel
--- a/kernel/daemon.hpp
+++ b/kernel/daemon.hpp
@@ -5,6 +5,8 @@
 
 #include "kernel/daemon_context.hpp"
 
+#include <cstdint>
+
 namespace pistachiohub::kernel
 {
 
@@ -15,6 +17,9 @@
 /// @throws error when a plug-in cannot be created, for example because a port is taken.
 void run_daemon(daemon_context& context);
 
+/// Random bits below the start's wall clock in an incarnation.
+inline constexpr unsigned incarnation_random_bits = 10;
+
 /// @returns a number for a process that starts now, unique on this host: wall clock milliseconds
 /// times 1024 plus 10 random bits.
 [[nodiscard]] std::uint64_t new_incarnation();
--- a/libraries/events/control_event.hpp
+++ b/libraries/events/control_event.hpp
@@ -91,13 +91,20 @@
     std::vector<messages::service_credit> credits;
 };
 
+/// Another daemon has fenced the own journal through `epoch`; ids need a later one.
+struct epoch_fenced
+{
+    std::uint32_t epoch = 0;
+};
+
 /// Any message to the control duty.
 using control_event = std::variant<peer_heard,
                                    configuration_wanted,
                                    configuration_received,
                                    host_list_received,
                                    backend_observation,
-                                   usage_report>;
+                                   usage_report,
+                                   epoch_fenced>;
 
 /// Says whether this daemon watches the store for its failure domain; published by the control
 /// duty.
--- a/libraries/ledger/journal_document.cpp
+++ b/libraries/ledger/journal_document.cpp
@@ -44,7 +44,8 @@
     journal.host = members.at("host").as_string();
     journal.incarnation = members.at("incarnation").to_number<std::uint64_t>();
     journal.append = members.at("append").to_number<std::uint64_t>();
-    journal.is_closed = members.at("closed").as_bool();
+    if (auto const& bound = members.at("closed_through_epoch"); !bound.is_null())
+        journal.closed_through_epoch = bound.to_number<std::uint32_t>();
     journal.first_epoch = members.at("first_epoch").to_number<std::uint32_t>();
     for (auto const& epoch : members.at("epochs").as_object())
     {
@@ -85,12 +86,27 @@
     return entry->second;
 }
 
+bool is_closed(journal_document const& journal, std::uint32_t epoch)
+{
+    return journal.closed_through_epoch && epoch <= *journal.closed_through_epoch;
+}
+
+bool close_through(journal_document& journal, std::uint32_t epoch)
+{
+    if (is_closed(journal, epoch))
+        return false;
+    journal.closed_through_epoch = epoch;
+    return true;
+}
+
 std::string to_text(journal_document const& journal)
 {
+    auto const bound =
+        journal.closed_through_epoch ? json::value(*journal.closed_through_epoch) : json::value();
     json::object const head{{"host", journal.host},
                             {"incarnation", journal.incarnation},
                             {"append", journal.append},
-                            {"closed", journal.is_closed},
+                            {"closed_through_epoch", bound},
                             {"first_epoch", journal.first_epoch}};
     auto text = json::serialize(head);
     text.pop_back();
--- a/libraries/ledger/journal_document.hpp
+++ b/libraries/ledger/journal_document.hpp
@@ -33,8 +33,8 @@
     std::uint64_t incarnation = 0;
     /// Number of the append that made this text, for recognising an append whose answer was lost.
     std::uint64_t append = 0;
-    /// True once another daemon has fenced the owner.
-    bool is_closed = false;
+    /// Newest epoch that another daemon has fenced: the owner adds no id of an epoch up to it.
+    std::optional<std::uint32_t> closed_through_epoch;
     /// Entries of older epochs have been removed.
     std::uint32_t first_epoch = 0;
     /// Entries by epoch and unique part.
@@ -45,6 +45,13 @@
 [[nodiscard]] std::optional<journal_entry> find_entry(journal_document const& journal,
                                                       identity::request_id const& id);
 
+/// @returns true if no intent of `epoch` may be added to the journal any more.
+[[nodiscard]] bool is_closed(journal_document const& journal, std::uint32_t epoch);
+
+/// Raises the newest closed epoch to `epoch`; a higher one remains.
+/// @returns true if it was raised.
+bool close_through(journal_document& journal, std::uint32_t epoch);
+
 /// @returns the JSON text.
 [[nodiscard]] std::string to_text(journal_document const& journal);
 
--- a/models/journal.pml
+++ b/models/journal.pml
@@ -1,5 +1,7 @@
 /* The write-ahead journal: an owner that may pause at any step, a store whose answers may be lost, and
  * two other daemons that decide about the same id while the owner may still be running.
+ * A fence is bounded by an epoch; the model has one id, so `journal_closed` says whether the bound
+ * has reached the epoch of this id. Ids of later epochs are not affected by it.
  *
  * Properties: the request is dispatched at most once, and nobody who was told `not_run` is wrong.
  * With -DNO_FENCE the other daemons read the journal without closing it, which must violate the
--- a/plugins/membership/control_state.cpp
+++ b/plugins/membership/control_state.cpp
@@ -3,6 +3,7 @@
 #include "plugins/membership/credits.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace pistachiohub::membership
@@ -203,6 +204,17 @@
     m_usage_at = now;
 }
 
+void control_state::on(events::epoch_fenced const& fenced, kernel::monotonic_time now)
+{
+    if (fenced.epoch == std::numeric_limits<std::uint32_t>::max())
+        return;
+    if (!raise_epoch(fenced.epoch + 1, now))
+        return;
+    note("epoch_fenced", m_settings.name, std::to_string(fenced.epoch));
+    // Until the peers hear of the new epoch, their lookups lead to ids that are refused.
+    send_round(now);
+}
+
 void control_state::check_pause(kernel::monotonic_time now)
 {
     auto const gap = now - m_last_call;
@@ -256,11 +268,16 @@
 void control_state::check_epoch(kernel::monotonic_time now)
 {
     auto const minutes = std::chrono::duration_cast<std::chrono::minutes>(now - m_started_at);
-    auto const epoch = static_cast<std::uint32_t>(minutes.count());
-    if (epoch == m_epoch)
-        return;
+    static_cast<void>(raise_epoch(static_cast<std::uint32_t>(minutes.count()), now));
+}
+
+bool control_state::raise_epoch(std::uint32_t epoch, kernel::monotonic_time now)
+{
+    if (epoch <= m_epoch)
+        return false;
     m_epoch = epoch;
     publish_by(now);
+    return true;
 }
 
 void control_state::note_server_states(kernel::monotonic_time now)
--- a/plugins/membership/control_state.hpp
+++ b/plugins/membership/control_state.hpp
@@ -74,11 +74,13 @@
     void on(events::host_list_received const& list, kernel::monotonic_time now);
     void on(events::backend_observation const& observation, kernel::monotonic_time now);
     void on(events::usage_report const& report, kernel::monotonic_time now);
+    void on(events::epoch_fenced const& fenced, kernel::monotonic_time now);
 
     void check_pause(kernel::monotonic_time now);
     void check_states(kernel::monotonic_time now);
     void check_role(kernel::monotonic_time now);
     void check_epoch(kernel::monotonic_time now);
+    [[nodiscard]] bool raise_epoch(std::uint32_t epoch, kernel::monotonic_time now);
     void note_server_states(kernel::monotonic_time now);
     void forget_derived(kernel::monotonic_time now);
     void send_round(kernel::monotonic_time now);
@@ -98,6 +100,8 @@
     kernel::monotonic_time m_started_at;
     kernel::monotonic_time m_active_since;
     kernel::monotonic_time m_last_call;
+    /// The higher one of the minutes since the start and the epoch after the newest fenced one; it
+    /// never decreases.
     std::uint32_t m_epoch = 0;
     bool m_is_draining = false;
     bool m_is_reader = false;
--- a/plugins/store/journal_fencer.cpp
+++ b/plugins/store/journal_fencer.cpp
@@ -35,9 +35,8 @@
             return std::nullopt;
         auto journal = found.end == status::ok ? ledger::parse_journal(found.found.value)
                                                : make_closed_journal(id);
-        if (found.end == status::ok && journal.is_closed)
+        if (found.end == status::ok && !ledger::close_through(journal, id.epoch))
             return journal;
-        journal.is_closed = true;
         auto const end =
             m_client.write(journal_kind, name, found.found.version, ledger::to_text(journal)).end;
         if (end == status::ok)
@@ -57,13 +56,15 @@
                                    {
                                        return entry.first == name;
                                    });
-    if (kept != m_closed.end())
+    if (kept != m_closed.end() && ledger::is_closed(kept->second, id.epoch))
         return judge(kept->second, id);
     try
     {
         auto journal = close(id);
         if (!journal)
             return unknown_result(id);
+        if (kept != m_closed.end())
+            m_closed.erase(kept);
         m_closed.emplace_back(name, std::move(*journal));
         if (m_closed.size() > most_kept_journals)
             m_closed.pop_front();
--- a/plugins/store/journal_fencer.hpp
+++ b/plugins/store/journal_fencer.hpp
@@ -15,13 +15,15 @@
 namespace pistachiohub::store
 {
 
-/// Closes journals and reads them. A closed journal does not change, so the last few are kept.
+/// Closes epochs of journals and reads them. A closed epoch gains no ids, so the last few journals
+/// are kept; they answer only for epochs that are closed in them.
 class journal_fencer
 {
 public:
     explicit journal_fencer(object_store::client& client);
 
-    /// Closes the journal of the owner of `id` and says what it holds about `id`.
+    /// Closes the journal of the owner of `id` through the epoch of `id` and says what it holds
+    /// about `id`.
     [[nodiscard]] events::fence_result fence(identity::request_id const& id);
 
 private:
--- a/plugins/store/journal_state.cpp
+++ b/plugins/store/journal_state.cpp
@@ -42,7 +42,8 @@
 {
     bool const is_own = id.owner == m_journal.host && id.incarnation == m_journal.incarnation;
     bool const is_refused = m_phase == phase::fenced || (m_is_down && now < m_not_before) ||
-                            !is_own || id.epoch < m_journal.first_epoch;
+                            !is_own || id.epoch < m_journal.first_epoch ||
+                            ledger::is_closed(m_journal, id.epoch);
     if (is_refused)
         m_answers.push_back({id, false});
     else
@@ -130,11 +131,8 @@
         accept(result.version);
         return;
     case status::conflict:
-        // Without a late append of its own, only a fence can have changed the object.
-        if (m_may_append_late)
-            m_phase = phase::in_doubt;
-        else
-            fence();
+        m_has_conflict = true;
+        m_phase = phase::in_doubt;
         return;
     case status::lost_answer:
     case status::cancelled:
@@ -175,21 +173,28 @@
         fence();
         return;
     }
-    if (found.is_closed)
+    bool const is_raised =
+        found.closed_through_epoch && ledger::close_through(m_journal, *found.closed_through_epoch);
+    if (result.end == status::ok && found.append == m_journal.append)
     {
-        fence();
+        refuse_closed_epochs();
+        accept(result.found.version);
         return;
     }
-    if (result.end == status::ok && found.append == m_journal.append)
+    bool const has_conflict = std::exchange(m_has_conflict, false);
+    // Only a fence or a late append of its own may change the object; else it is damaged.
+    if (has_conflict && !is_raised && !m_may_append_late)
     {
-        accept(result.found.version);
+        fence();
         return;
     }
     m_phase = phase::open;
     m_is_down = false;
     m_version = result.found.version;
-    m_may_append_late = true;
+    // An append that was refused for a conflict has no late effect.
+    m_may_append_late = m_may_append_late || !has_conflict;
     requeue_in_flight();
+    refuse_closed_epochs();
 }
 
 void journal_state::answer_pending()
@@ -235,6 +240,28 @@
                   });
 }
 
+// Another daemon may have reported an id of a closed epoch as not run. Intents whose append took
+// effect before the fence are refused as well; their entries stay pending, which proves nothing.
+void journal_state::refuse_closed_epochs()
+{
+    std::erase_if(m_in_flight,
+                  [this](intent_in_flight const& intent)
+                  {
+                      bool const is_refused = ledger::is_closed(m_journal, intent.id.epoch);
+                      if (is_refused)
+                          m_answers.push_back({intent.id, false});
+                      return is_refused;
+                  });
+    std::erase_if(m_pending,
+                  [this](identity::request_id const& id)
+                  {
+                      bool const is_refused = ledger::is_closed(m_journal, id.epoch);
+                      if (is_refused)
+                          m_answers.push_back({id, false});
+                      return is_refused;
+                  });
+}
+
 // Later intents of one id are restored first, so that the entry before all of them remains.
 void journal_state::restore_entries()
 {
@@ -270,6 +297,7 @@
 {
     m_phase = phase::open;
     m_version = version;
+    m_has_conflict = false;
     m_may_append_late = false;
     m_is_down = false;
     m_failures = 0;
@@ -301,6 +329,11 @@
     return m_phase == phase::fenced;
 }
 
+std::optional<std::uint32_t> journal_state::closed_through_epoch() const
+{
+    return m_journal.closed_through_epoch;
+}
+
 bool journal_state::is_written() const
 {
     return m_phase == phase::fenced ||
--- a/plugins/store/journal_state.hpp
+++ b/plugins/store/journal_state.hpp
@@ -39,7 +39,7 @@
                   std::uint64_t incarnation,
                   std::size_t largest_text = object_store::largest_value);
 
-    /// Queues an intent; refused at once when fenced or while the store is down.
+    /// Queues an intent; refused at once when its epoch is fenced or while the store is down.
     void add_intent(identity::request_id const& id, kernel::monotonic_time now);
 
     /// Notes the outcome of an id whose intent is written.
@@ -61,8 +61,12 @@
     /// @returns the answers since the last call.
     [[nodiscard]] std::vector<intent_answer> take_answers();
 
+    /// @returns true when the journal was damaged, which ends its use for good.
     [[nodiscard]] bool is_fenced() const;
 
+    /// @returns the newest epoch that is known to be fenced by another daemon.
+    [[nodiscard]] std::optional<std::uint32_t> closed_through_epoch() const;
+
     /// @returns true when no intent and no outcome waits to be written.
     [[nodiscard]] bool is_written() const;
 
@@ -90,6 +94,7 @@
     void answer_in_flight(bool is_durable);
     void insert_pending();
     void refuse_removed_epochs();
+    void refuse_closed_epochs();
     void restore_entries();
     void requeue_in_flight();
     void remove_epochs_before(std::uint32_t epoch);
@@ -107,6 +112,8 @@
     std::deque<kernel::monotonic_time> m_recent_appends;
     std::optional<kernel::monotonic_time> m_outcomes_since;
     std::optional<kernel::monotonic_time> m_appended_outcomes_since;
+    /// The append was refused for a change of the object by somebody else.
+    bool m_has_conflict = false;
     /// An append that was read back as without effect may still take effect.
     bool m_may_append_late = false;
     /// New intents are refused until then, because the store is down.
--- a/plugins/store/store_writer.cpp
+++ b/plugins/store/store_writer.cpp
@@ -1,6 +1,8 @@
+#include "kernel/clock.hpp"
 #include "kernel/log.hpp"
 #include "kernel/mailbox.hpp"
 #include "kernel/plugin.hpp"
+#include "libraries/events/control_event.hpp"
 #include "libraries/events/forward_event.hpp"
 #include "libraries/events/store_command.hpp"
 #include "libraries/object_store/object_store.hpp"
@@ -50,6 +52,7 @@
         : m_context(context)
         , m_commands(context.shared<kernel::mailbox<events::store_command>>())
         , m_forward(context.shared<kernel::mailbox<events::forward_event>>())
+        , m_control(context.shared<kernel::mailbox<events::control_event>>())
         , m_client(context.own_settings().store, store_limits)
         , m_ledger(context.own_settings().name, context.incarnation())
         , m_settlement(m_ledger)
@@ -80,7 +83,11 @@
 private:
     [[nodiscard]] std::uint32_t current_epoch() const
     {
-        return static_cast<std::uint32_t>((kernel::monotonic_now() - m_started_at) / epoch_length);
+        auto const running = kernel::monotonic_now() - m_started_at;
+        auto const epoch = static_cast<std::uint32_t>(running / epoch_length);
+        // The control duty makes ids of the epoch after a fenced one.
+        auto const bound = m_journal.closed_through_epoch();
+        return bound ? std::max(epoch, *bound + 1) : epoch;
     }
 
     [[nodiscard]] double random()
@@ -94,7 +101,7 @@
         auto end = now + idle_wait;
         if (!m_fences.empty())
             end = now;
-        if (!m_undelivered.empty())
+        if (!m_undelivered.empty() || m_untold_epoch)
             end = std::min<kernel::monotonic_time>(end, now + delivery_retry);
         for (auto const due : {m_settlement.next_due(), m_journal.next_due()})
             end = due ? std::min(end, *due) : end;
@@ -137,8 +144,9 @@
     {
         bool const is_own = wanted.id.owner == m_context.own_settings().name &&
                             wanted.id.incarnation == m_context.incarnation();
-        // Closing the own journal would end this daemon's at-most-once work.
-        if (is_own)
+        auto const latest = latest_plausible_epoch(wanted.id.incarnation, kernel::wall_clock_ms());
+        // Closing the own journal would refuse this daemon's at-most-once work.
+        if (is_own || wanted.id.epoch > latest)
             report_fence(unknown_result(wanted.id));
         else
             m_fences.push_back(wanted.id);
@@ -170,11 +178,17 @@
     void step_journal()
     {
         bool const was_fenced = m_journal.is_fenced();
+        auto const old_bound = m_journal.closed_through_epoch();
         step(m_journal,
              journal_kind,
              m_journal.next_write(kernel::monotonic_now(), current_epoch()));
         if (m_journal.is_fenced() && !was_fenced)
-            kernel::log_event(log_level::warning, area, "journal_fenced");
+            kernel::log_event(log_level::error, area, "journal_damaged");
+        auto const bound = m_journal.closed_through_epoch();
+        if (bound == old_bound)
+            return;
+        kernel::log_event(log_level::warning, area, "journal_fenced", {{"epoch", *bound}});
+        m_untold_epoch = bound;
     }
 
     void step_settlement()
@@ -236,6 +250,8 @@
     {
         while (!m_undelivered.empty() && m_forward.try_push(std::move(m_undelivered.front())))
             m_undelivered.pop_front();
+        if (m_untold_epoch && m_control.try_push(events::epoch_fenced{*m_untold_epoch}))
+            m_untold_epoch.reset();
     }
 
     void count_call(std::string_view kind, std::string_view call, object_store::status end)
@@ -247,6 +263,7 @@
     kernel::daemon_context& m_context;
     kernel::mailbox<events::store_command>& m_commands;
     kernel::mailbox<events::forward_event>& m_forward;
+    kernel::mailbox<events::control_event>& m_control;
     object_store::client m_client;
     settlement_ledger m_ledger;
     settlement_flush m_settlement;
@@ -256,6 +273,8 @@
     kernel::monotonic_time m_started_at = kernel::monotonic_now();
     std::deque<identity::request_id> m_fences;
     std::deque<events::forward_event> m_undelivered;
+    /// The newest fenced epoch, until the control duty is told.
+    std::optional<std::uint32_t> m_untold_epoch;
     std::deque<flush_waiter> m_flushes;
     std::mt19937_64 m_random{std::random_device{}()};
     wake_signal m_signal;
--- a/tests/membership/control_state_test.cpp
+++ b/tests/membership/control_state_test.cpp
@@ -365,6 +365,47 @@
     CHECK(hosts.at("a-1-h1").publications - before <= 3);
 }
 
+// Until callers and peers hold an epoch after the fenced one, all at-most-once work is refused. An
+// epoch that decreased would lead to ids of the fenced one again.
+TEST_CASE("control_state_fenced_epoch_raises_own_epoch_at_once", "[membership]")
+{
+    kernel::settings settings;
+    settings.name = "own";
+    settings.failure_domain = "a-1";
+    settings.seed_peers = {{"seed", "b-1", "10.0.0.9", 7}};
+    kernel::monotonic_time now{1h};
+    membership::control_state state(settings, 1, 0, now);
+    REQUIRE(state.take_view(now));
+    state.tick(false, now);
+    std::ignore = state.take_commands();
+    now += membership::publish_interval;
+    state.handle(events::epoch_fenced{2}, now);
+    auto const world = state.take_view(now);
+    REQUIRE(world);
+    CHECK(world->own_epoch == 3);
+    auto const commands = state.take_commands();
+    REQUIRE(commands.size() == 1);
+    CHECK(std::get<messages::heartbeat>(commands[0].content).epoch == 3);
+    auto const epoch_after = [&](kernel::duration time)
+    {
+        now += time;
+        state.tick(false, now);
+        now += membership::publish_interval;
+        state.handle(events::usage_report{}, now);
+        auto const later = state.take_view(now);
+        return later ? later->own_epoch : 0;
+    };
+    CHECK(epoch_after(2min) == 3);
+    state.handle(events::epoch_fenced{1}, now);
+    CHECK(epoch_after(90s) == 3);
+    CHECK(epoch_after(1min) == 4);
+    state.handle(events::epoch_fenced{3}, now);
+    state.handle(events::epoch_fenced{0xffffffff}, now);
+    CHECK(epoch_after(10s) == 4);
+    state.handle(events::epoch_fenced{4}, now);
+    CHECK(epoch_after(10s) == 5);
+}
+
 // Seed peers are the only way to a configuration while the store is down.
 TEST_CASE("control_state_seed_peer_is_known_before_host_list", "[membership]")
 {
--- a/tests/store/journal_state_test.cpp
+++ b/tests/store/journal_state_test.cpp
@@ -48,10 +48,10 @@
         m_journal.on_read_back({status::ok, {"host-1.5", version, std::move(text)}}, m_now, 0.5);
     }
 
-    [[nodiscard]] static std::string closed(std::string const& text)
+    [[nodiscard]] static std::string closed(std::string const& text, std::uint32_t epoch = 0)
     {
         auto journal = ledger::parse_journal(text);
-        journal.is_closed = true;
+        ledger::close_through(journal, epoch);
         return ledger::to_text(journal);
     }
 
@@ -96,16 +96,111 @@
     CHECK(appends >= 85);
 }
 
-// A fenced owner that dispatched would run a request that its fencer reported as not run.
-TEST_CASE_METHOD(journal_fixture, "journal_conflict_refuses_pending_and_later_intents", "[store]")
+// A fenced owner that dispatched would run a request that its fencer reported as not run. One that
+// refused intents of later epochs would refuse all work until it is restarted.
+TEST_CASE_METHOD(journal_fixture, "journal_fence_refuses_intents_up_to_its_epoch_only", "[store]")
 {
+    add("a", 3);
+    add("b", 4);
+    REQUIRE(append(status::conflict, 0, 3));
+    add("c", 2);
+    add("d", 4);
+    CHECK(answers().empty());
+    read_back(1, ledger::to_text(store::make_closed_journal(id("x", 3))));
+    CHECK(m_journal.closed_through_epoch() == 3);
+    CHECK_FALSE(m_journal.is_fenced());
+    CHECK(answers() == "a-c-");
+    add("e", 3);
+    CHECK(answers() == "e-");
+    m_now += 1s;
+    add("f", 5);
+    auto const write = m_journal.next_write(m_now, 4);
+    REQUIRE(write);
+    CHECK(write->expected_version == 1);
+    m_journal.on_write({status::ok, 2}, m_now, 0.5);
+    CHECK(answers() == "b+d+f+");
+    auto const journal = ledger::parse_journal(write->text);
+    CHECK(journal.closed_through_epoch == 3);
+    for (auto const* const unique : {"a", "e"})
+        CHECK(store::judge(journal, id(unique, 3)).result == outcome::not_run);
+    CHECK(store::judge(journal, id("c", 2)).result == outcome::not_run);
+}
+
+// A change that is neither a fence nor an own append leaves nothing that the owner may rely on.
+TEST_CASE_METHOD(journal_fixture, "journal_conflict_without_fence_is_damage_for_good", "[store]")
+{
+    bool const is_readable = GENERATE(true, false);
     add("a");
-    REQUIRE(append(status::conflict, 1));
+    REQUIRE(append(status::ok, 1));
+    auto const other = m_text;
+    CHECK(answers() == "a+");
+    m_now += 1s;
     add("b");
+    REQUIRE(append(status::conflict, 2));
+    read_back(2, is_readable ? other : "{");
+    add("c", 7);
     CHECK(m_journal.is_fenced());
-    CHECK(answers() == "a-b-");
+    CHECK(answers() == "b-c-");
     m_now += 1s;
-    CHECK_FALSE(append(status::ok, 2));
+    CHECK_FALSE(append(status::ok, 3));
+}
+
+// A lost bound would let ids run that fencers have reported as not run.
+TEST_CASE_METHOD(journal_fixture, "journal_bound_survives_lost_answers_and_late_appends", "[store]")
+{
+    add("a", 1);
+    REQUIRE(append(status::lost_answer, 0, 1));
+    auto const late = m_text;
+    m_journal.on_read_back({status::missing, {}}, m_now, 0.5);
+    m_now += 1s;
+    REQUIRE(append(status::lost_answer, 0, 1));
+    // The first append takes effect late, then the fence; the second append never does.
+    read_back(2, closed(late, 1));
+    CHECK(answers() == "a-");
+    m_now += 1s;
+    add("b", 2);
+    REQUIRE(append(status::lost_answer, 0, 2));
+    CHECK(ledger::parse_journal(m_text).closed_through_epoch == 1);
+    // An object without the bound, such as an old copy, must not lower it.
+    read_back(3, late);
+    add("c", 1);
+    CHECK(answers() == "c-");
+    m_now += 1s;
+    REQUIRE(append(status::ok, 4, 2));
+    CHECK(answers() == "b+");
+    CHECK(ledger::parse_journal(m_text).closed_through_epoch == 1);
+}
+
+// Outcomes of closed epochs settle ids that the fencer reported as unresolved.
+TEST_CASE_METHOD(journal_fixture, "journal_outcome_of_closed_epoch_is_appended", "[store]")
+{
+    add("a");
+    REQUIRE(append(status::ok, 1));
+    auto const fenced = closed(m_text);
+    CHECK(store::judge(ledger::parse_journal(fenced), id("a")).result == outcome::unresolved);
+    m_journal.add_outcome(id("a"), outcome::ran, m_now);
+    m_now += 1s;
+    REQUIRE(append(status::conflict, 0));
+    read_back(2, fenced);
+    m_now += 1s;
+    REQUIRE(append(status::ok, 3));
+    CHECK(store::judge(ledger::parse_journal(m_text), id("a")).result == outcome::ran);
+}
+
+// A wrong id must not close epochs that the owner reaches only in the far future.
+TEST_CASE("journal_fence_plausible_epochs_follow_the_start_of_the_incarnation", "[store]")
+{
+    constexpr std::uint64_t started_at_ms = 1'700'000'000'000;
+    constexpr std::uint64_t incarnation = started_at_ms * 1024 + 1023;
+    auto const latest = [](std::uint64_t wall_clock_ms)
+    {
+        return store::latest_plausible_epoch(incarnation, wall_clock_ms);
+    };
+    CHECK(latest(started_at_ms) == store::epoch_margin);
+    CHECK(latest(started_at_ms + 59'999) == store::epoch_margin);
+    CHECK(latest(started_at_ms + 60'000) == store::epoch_margin + 1);
+    CHECK(latest(started_at_ms - 60'000) == store::epoch_margin);
+    CHECK(store::latest_plausible_epoch(0, std::uint64_t{1} << 63U) == 0xffffffff);
 }
 
 TEST_CASE_METHOD(journal_fixture,
@@ -151,8 +246,11 @@
     add("a");
     REQUIRE(append(status::lost_answer, 0));
     read_back(2, closed(m_text));
-    CHECK(m_journal.is_fenced());
+    CHECK(m_journal.closed_through_epoch() == 0);
     CHECK(answers() == "a-");
+    // The entry remains, so others do not call the id not run before the owner has.
+    CHECK(store::judge(ledger::parse_journal(closed(m_text)), id("a")).result ==
+          outcome::unresolved);
 }
 
 // Waiting for a store that is down would let requests run into their deadlines.
@@ -216,7 +314,7 @@
     add("late", 0);
     REQUIRE(append(status::ok, 2, 11));
     CHECK(answers() == "a+late-b+");
-    auto const journal = ledger::parse_journal(closed(m_text));
+    auto const journal = ledger::parse_journal(closed(m_text, 11));
     CHECK(journal.first_epoch == 1);
     CHECK(store::judge(journal, id("a", 0)).result == outcome::unresolved);
     CHECK(store::judge(journal, id("b", 11)).result == outcome::unresolved);
--- a/tests/store/settlement_report_test.cpp
+++ b/tests/store/settlement_report_test.cpp
@@ -28,7 +28,7 @@
         ledger::journal_document journal;
         journal.host = "host-3";
         journal.incarnation = 7;
-        journal.is_closed = true;
+        journal.closed_through_epoch = 0;
         journal.epochs[0] = {{"b", ledger::journal_entry::ran},
                              {"d", ledger::journal_entry::pending}};
         m_journals.push_back(journal);
--- a/tests/store/store_duties_test.cpp
+++ b/tests/store/store_duties_test.cpp
@@ -1,3 +1,5 @@
+#include "kernel/clock.hpp"
+#include "kernel/daemon.hpp"
 #include "kernel/mailbox.hpp"
 #include "kernel/plugin.hpp"
 #include "kernel/snapshot.hpp"
@@ -5,6 +7,7 @@
 #include "libraries/events/forward_event.hpp"
 #include "libraries/events/store_command.hpp"
 #include "libraries/ledger/journal_document.hpp"
+#include "plugins/store/journal_fence.hpp"
 #include "tests/store/fake_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -224,7 +227,7 @@
         if (kind != "journal")
             return;
         auto journal = ledger::parse_journal(m_store.get("journal", "host-1.5").value);
-        journal.is_closed = true;
+        ledger::close_through(journal, 0);
         m_store.put("journal", "host-1.5", ledger::to_text(journal));
     };
     start("store writer");
@@ -246,12 +249,73 @@
     REQUIRE(fenced);
     CHECK(fenced->result == outcome::not_run);
     auto const closed = ledger::parse_journal(m_store.get("journal", "host-2.7").value);
-    CHECK(closed.is_closed);
+    CHECK(closed.closed_through_epoch == 0);
     m_store.put("journal", "host-1.5", ledger::to_text(closed));
     command(events::append_intent{own_id("a")});
     CHECK(receive<events::intent_refused>());
 }
 
+// An owner that is fenced during a partition must do at-most-once work again without a restart.
+TEST_CASE_METHOD(duty_fixture,
+                 "store_writer_fenced_owner_confirms_intents_of_next_epoch",
+                 "[store][concurrent]")
+{
+    auto const fenced = store::make_closed_journal({"host-1", 5, 2, "x"});
+    m_store.put("journal", "host-1.5", ledger::to_text(fenced));
+    start("store writer");
+    command(events::append_intent{{"host-1", 5, 2, "a"}});
+    CHECK(receive<events::intent_refused>());
+    auto const told = receive<events::epoch_fenced, events::control_event>();
+    REQUIRE(told);
+    CHECK(told->epoch == 2);
+    command(events::append_intent{{"host-1", 5, 1, "b"}});
+    CHECK(receive<events::intent_refused>());
+    command(events::append_intent{{"host-1", 5, 3, "c"}});
+    CHECK(receive<events::intent_durable>());
+    auto const journal = ledger::parse_journal(m_store.get("journal", "host-1.5").value);
+    CHECK(journal.closed_through_epoch == 2);
+    CHECK(ledger::find_entry(journal, {"host-1", 5, 3, "c"}));
+}
+
+// A kept journal proves nothing about epochs that were open when it was read.
+TEST_CASE_METHOD(duty_fixture,
+                 "store_writer_fence_of_later_epoch_raises_the_bound",
+                 "[store][concurrent]")
+{
+    start("store writer");
+    command(events::fence_owner{{"host-2", 7, 1, "x"}});
+    REQUIRE(receive<events::fence_result>());
+    auto journal = ledger::parse_journal(m_store.get("journal", "host-2.7").value);
+    journal.epochs[2]["y"] = ledger::journal_entry::pending;
+    m_store.put("journal", "host-2.7", ledger::to_text(journal));
+    command(events::fence_owner{{"host-2", 7, 2, "y"}});
+    auto const later = receive<events::fence_result>();
+    REQUIRE(later);
+    CHECK(later->result == outcome::unresolved);
+    command(events::fence_owner{{"host-2", 7, 0, "z"}});
+    auto const earlier = receive<events::fence_result>();
+    REQUIRE(earlier);
+    CHECK(earlier->result == outcome::not_run);
+    journal = ledger::parse_journal(m_store.get("journal", "host-2.7").value);
+    CHECK(journal.closed_through_epoch == 2);
+}
+
+// A wrong id would otherwise end the owner's at-most-once work for years.
+TEST_CASE_METHOD(duty_fixture,
+                 "store_writer_implausible_epoch_is_not_fenced",
+                 "[store][concurrent]")
+{
+    start("store writer");
+    auto const incarnation = kernel::wall_clock_ms() << kernel::incarnation_random_bits;
+    // One epoch more than the margin, for a minute that begins during the test.
+    command(events::fence_owner{{"host-2", incarnation, store::epoch_margin + 2, "x"}});
+    auto const result = receive<events::fence_result>();
+    REQUIRE(result);
+    CHECK(result->result == outcome::unresolved);
+    CHECK(result->cause == reason::owner_unreachable);
+    CHECK(m_store.writes("journal") == 0);
+}
+
 // A daemon that closed its own journal would refuse at-most-once work until it is restarted.
 TEST_CASE_METHOD(duty_fixture,
                  "store_writer_fence_of_own_id_leaves_journal_open",
--- a/tests/store/store_rules_property_test.cpp
+++ b/tests/store/store_rules_property_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -58,13 +59,17 @@
         m_late.erase(m_late.begin());
     }
 
-    void close()
+    /// Fences the journal as another daemon does.
+    /// @returns the journal that the daemon then keeps.
+    ledger::journal_document close(std::uint32_t epoch)
     {
-        auto journal = m_version == 0 ? store::make_closed_journal({"host-1", 5, 0, "x"})
+        auto journal = m_version == 0 ? store::make_closed_journal({"host-1", 5, epoch, "x"})
                                       : ledger::parse_journal(m_text);
-        journal.is_closed = true;
+        if (m_version != 0 && !ledger::close_through(journal, epoch))
+            return journal;
         m_text = ledger::to_text(journal);
         ++m_version;
+        return journal;
     }
 
     [[nodiscard]] std::string const& text() const
@@ -115,8 +120,8 @@
 
 } // namespace
 
-// I4 and I5: an id that the owner may dispatch must never be judged as not run, whatever is lost,
-// late or fenced.
+// I4 and I5: an id that the owner may dispatch must never be judged as not run, by any daemon at
+// any time, whatever is lost, late or fenced. No fence may end the owner's work for good.
 TEST_CASE("journal_random_faults_never_confirm_an_id_that_a_fence_calls_not_run", "[store]")
 {
     bool const is_held = rc::check(
@@ -125,22 +130,30 @@
             store::journal_state journal("host-1", 5);
             faulty_object object;
             kernel::monotonic_time now{1h};
+            std::vector<identity::request_id> added;
             std::vector<identity::request_id> confirmed;
-            bool is_closed = false;
-            int added = 0;
+            std::vector<ledger::journal_document> fenced;
+            std::uint32_t newest_epoch = 0;
+            std::size_t confirmed_after_fence = 0;
             for (auto const& step : random_steps())
             {
                 now += 30ms * step.fate;
                 auto const epoch = static_cast<std::uint32_t>((now.time_since_epoch() - 1h) / 1s);
+                newest_epoch = std::max(newest_epoch, epoch);
+                if (auto const bound = journal.closed_through_epoch())
+                    newest_epoch = std::max(newest_epoch, *bound + 1);
                 if (step.action < 2)
-                    journal.add_intent({"host-1", 5, epoch, std::to_string(added++)}, now);
-                else if (step.action == 2)
-                    object.apply_late();
-                else if (step.action == 3 && step.fate == 0 && added > 20 && !is_closed)
                 {
-                    object.close();
-                    is_closed = true;
+                    // A caller may hold an epoch that has been fenced since.
+                    auto const used = step.action == 0 ? newest_epoch : epoch;
+                    added.push_back({"host-1", 5, used, std::to_string(added.size())});
+                    journal.add_intent(added.back(), now);
                 }
+                else if (step.action == 2)
+                    object.apply_late();
+                else if (step.action == 3 && step.fate < 2 && !added.empty())
+                    fenced.push_back(
+                        object.close(added[(added.size() - 1) / (1U + step.fate)].epoch));
                 else if (step.action == 3 && !confirmed.empty())
                     journal.add_outcome(confirmed.back(), outcome::ran, now);
                 else
@@ -150,21 +163,50 @@
                                step.fate,
                                [&]()
                                {
-                                   return journal.next_write(now, epoch);
+                                   return journal.next_write(now, newest_epoch);
                                });
                 for (auto const& answer : journal.take_answers())
                 {
-                    if (answer.is_durable)
-                        confirmed.push_back(answer.id);
+                    if (!answer.is_durable)
+                        continue;
+                    confirmed.push_back(answer.id);
+                    confirmed_after_fence += fenced.empty() ? 0 : 1;
                 }
+                RC_ASSERT(!journal.is_fenced());
+                RC_ASSERT(fenced.empty() ||
+                          ledger::parse_journal(object.text()).closed_through_epoch >=
+                              fenced.back().closed_through_epoch);
+            }
+            bool const was_fenced = !fenced.empty();
+            fenced.push_back(object.close(newest_epoch + 1));
+            for (auto const& closed : fenced)
+            {
+                for (auto const& id : confirmed)
+                    RC_ASSERT(!ledger::is_closed(closed, id.epoch) ||
+                              store::judge(closed, id).result != outcome::not_run);
             }
-            if (!is_closed)
-                object.close();
-            auto const closed = ledger::parse_journal(object.text());
-            for (auto const& id : confirmed)
-                RC_ASSERT(store::judge(closed, id).result != outcome::not_run);
             RC_CLASSIFY(confirmed.size() > 10);
-            RC_CLASSIFY(is_closed);
+            RC_CLASSIFY(was_fenced);
+            RC_CLASSIFY(confirmed_after_fence > 10);
+            // After the faults, an intent of the next epoch is confirmed.
+            identity::request_id const last{"host-1", 5, newest_epoch + 2, "last"};
+            bool is_last_confirmed = false;
+            for (int attempt = 0; attempt < 10; ++attempt, now += 10s)
+            {
+                if (attempt == 2)
+                    journal.add_intent(last, now);
+                call_store(journal,
+                           object,
+                           now,
+                           7,
+                           [&]()
+                           {
+                               return journal.next_write(now, newest_epoch + 2);
+                           });
+                for (auto const& answer : journal.take_answers())
+                    is_last_confirmed |= answer.id == last && answer.is_durable;
+            }
+            RC_ASSERT(is_last_confirmed);
         });
     CHECK(is_held);
 }
