--- a/tests/store/store_rules_property_test.cpp
+++ b/tests/store/store_rules_property_test.cpp
@@ -173,17 +173,19 @@
                     confirmed_after_fence += fenced.empty() ? 0 : 1;
                 }
                 RC_ASSERT(!journal.is_fenced());
-                RC_ASSERT(fenced.empty() ||
-                          ledger::parse_journal(object.text()).closed_through_epoch >=
-                              fenced.back().closed_through_epoch);
+                if (!fenced.empty())
+                    RC_ASSERT((ledger::parse_journal(object.text()).closed_through_epoch >=
+                               fenced.back().closed_through_epoch));
             }
             bool const was_fenced = !fenced.empty();
             fenced.push_back(object.close(newest_epoch + 1));
             for (auto const& closed : fenced)
             {
                 for (auto const& id : confirmed)
-                    RC_ASSERT(!ledger::is_closed(closed, id.epoch) ||
-                              store::judge(closed, id).result != outcome::not_run);
+                {
+                    if (ledger::is_closed(closed, id.epoch))
+                        RC_ASSERT(store::judge(closed, id).result != outcome::not_run);
+                }
             }
             RC_CLASSIFY(confirmed.size() > 10);
             RC_CLASSIFY(was_fenced);
