--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -21,6 +21,8 @@
   add_test(NAME operations_page
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/operations_page_test.py ${CMAKE_BINARY_DIR})
   set_tests_properties(operations_page PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
+endif()
+
 # Runs of separate processes. meta/demo starts the programs of build/release, so only this build runs them.
 # The base ports lie below the usual range of ephemeral ports.
 if(NOT PISTACHIOHUB_SANITIZE AND CMAKE_BINARY_DIR STREQUAL "${CMAKE_SOURCE_DIR}/build/release")
