peer: Count messages that are too large

Cause: the transport closes the connection of a sender whose message exceeds its limit, and no counter shows it. Ruled out: no limit in the transport, because one sender could then use up the memory. Only messages over four times the limit end the connection uncounted.

--- a/plugins/peer/nng_sockets.cpp
+++ b/plugins/peer/nng_sockets.cpp
@@ -55,7 +55,9 @@
     m_socket = socket.id;
     try
     {
-        check(nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, largest_message), "set a limit", url);
+        check(nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, largest_transported),
+              "set a limit",
+              url);
         nng_listener listener{};
         check(nng_listen(socket, url.c_str(), &listener, 0), "listen", url);
         int bound_port = 0;
--- a/plugins/peer/nng_sockets.hpp
+++ b/plugins/peer/nng_sockets.hpp
@@ -20,8 +20,11 @@
 {
 
 /// Largest message between daemons, in bytes: a body or a configuration document of 1 MiB with its
-/// envelope. The receiver closes the connection of a sender that exceeds it.
+/// envelope. A longer one is refused.
 inline constexpr std::size_t largest_message = std::size_t{1024} * 1024 + 8192;
+/// Largest message that the transport reads, in bytes. It closes the connection of a sender that
+/// exceeds it, which cannot be counted, so it is well above what is refused.
+inline constexpr std::size_t largest_transported = 4 * largest_message;
 
 /// An nng socket cannot be made or listened on.
 class transport_error : public kernel::error
--- a/plugins/peer/peer_duty.cpp
+++ b/plugins/peer/peer_duty.cpp
@@ -216,6 +216,8 @@
     m_context.own_metrics()
         .find_counter("pistachiohub_peer_bytes_received_total")
         .increment(static_cast<double>(bytes.size()));
+    if (bytes.size() > largest_message)
+        return refuse("too_large");
     try
     {
         handle(messages::decode(bytes, m_context.own_settings().peer_key));
--- a/tests/peer/peer_duty_test.cpp
+++ b/tests/peer/peer_duty_test.cpp
@@ -267,6 +267,8 @@
     send_bytes(truncated);
     CHECK(m_second.eventually_refused("wrong_authentication_code", 2));
     send_bytes(std::vector<std::byte>(peer::largest_message + 1));
+    CHECK(m_second.eventually_refused("too_large", 1));
+    send_bytes(std::vector<std::byte>(peer::largest_transported + 1));
     support::connect_to(m_second.port()).send(std::string(100000, '\xff'));
     // The start of a connection by nng's protocol, then a message length of 2^63 bytes.
     support::connect_to(m_second.port())
