--- a/plugins/forward/relay_receiver.cpp
+++ b/plugins/forward/relay_receiver.cpp
@@ -259,33 +259,48 @@
     set_reply(current, subject, outcome::unresolved, reason::deadline);
 }
 
-} // namespace
-
-void receive_relay(step& current,
-                   messages::relay content,
-                   std::string_view sender,
-                   std::uint64_t sender_incarnation)
+/// Answers a message about an attempt that is known or too old.
+/// @returns a new run, or null when nothing may be started or forbidden.
+relay_run* open_run(step& current,
+                    identity::request_id const& id,
+                    std::uint32_t attempt,
+                    std::string_view sender,
+                    std::uint64_t sender_incarnation)
 {
-    auto const* const owner = accept_owner(current, content.id, sender, sender_incarnation);
+    auto const* const owner = accept_owner(current, id, sender, sender_incarnation);
     if (owner == nullptr)
-        return;
-    auto* const known = find_run(current.state.relays, content.id, content.attempt);
+        return nullptr;
+    auto& table = current.state.relays;
+    auto const* const known = find_run(table, id, attempt);
     if (known != nullptr)
     {
         if (known->has_reply)
             send_reply(current, *known);
-        return;
+        return nullptr;
     }
-    if (is_before_retention(*owner, content.id.epoch))
+    if (is_before_retention(*owner, id.epoch))
     {
-        answer_expired(current, content.id, content.attempt);
-        return;
+        answer_expired(current, id, attempt);
+        return nullptr;
     }
-    if (current.state.relays.runs.size() >= most_relays)
+    // Without an answer the owner leaves the attempt unresolved.
+    if (table.runs.size() >= most_relays)
+        return nullptr;
+    return &add_run(table, id, attempt);
+}
+
+} // namespace
+
+void receive_relay(step& current,
+                   messages::relay content,
+                   std::string_view sender,
+                   std::uint64_t sender_incarnation)
+{
+    auto* const added = open_run(current, content.id, content.attempt, sender, sender_incarnation);
+    if (added == nullptr)
         return;
-    auto& added = add_run(current.state.relays, content.id, content.attempt);
-    start(current, added, std::move(content));
-    arm(current.state.relays, added);
+    start(current, *added, std::move(content));
+    arm(current.state.relays, *added);
 }
 
 void receive_relay_cancel(step& current,
@@ -293,25 +308,9 @@
                           std::string_view sender,
                           std::uint64_t sender_incarnation)
 {
-    auto const* const owner = accept_owner(current, content.id, sender, sender_incarnation);
-    if (owner == nullptr)
-        return;
-    auto* const known = find_run(current.state.relays, content.id, content.attempt);
-    if (known != nullptr)
-    {
-        if (known->has_reply)
-            send_reply(current, *known);
-        return;
-    }
-    if (is_before_retention(*owner, content.id.epoch))
-    {
-        answer_expired(current, content.id, content.attempt);
-        return;
-    }
-    if (current.state.relays.runs.size() >= most_relays)
-        return;
-    auto& added = add_run(current.state.relays, content.id, content.attempt);
-    set_reply(current, added, outcome::not_run, reason::relay_silent);
+    auto* const added = open_run(current, content.id, content.attempt, sender, sender_incarnation);
+    if (added != nullptr)
+        set_reply(current, *added, outcome::not_run, reason::relay_silent);
 }
 
 void apply_relay_end(step& current, relay_run& subject, events::attempt_end end, std::string answer)
