--- a/libraries/configuration/document.cpp
+++ b/libraries/configuration/document.cpp
@@ -347,6 +347,28 @@
     return document;
 }
 
+std::string_view name_of(journal_mode mode)
+{
+    return mode == journal_mode::none ? "none" : "write_ahead";
+}
+
+// The journal holds nothing about requests that were dispatched without it, and daemons change over
+// at different moments, so that a fence during a change could report a request as not run that ran.
+void check_journals_kept(configuration const& current, configuration const& next)
+{
+    for (auto const& changed : next.services)
+    {
+        for (auto const& known : current.services)
+        {
+            if (known.name != changed.name || known.journal == changed.journal)
+                continue;
+            refuse("services." + changed.name + ".journal",
+                   json::value(json::string_view(name_of(changed.journal))),
+                   std::string(name_of(known.journal)) + ", or a service under another name");
+        }
+    }
+}
+
 } // namespace
 
 configuration_error::configuration_error(std::string_view key,
@@ -382,13 +404,17 @@
         if (auto const* const value = changes.get_object().if_contains(key))
             refuse(key, *value, "no mention in a patch; the store's update sets it");
     }
+    // The first document is a patch of the empty one, which is not a configuration.
+    bool const is_first = document.is_object() && document.get_object().empty();
     detail::merge(document, changes);
     if (!document.is_object())
         refuse("(document)", document, "a JSON object");
     document.get_object()["version"] = new_version;
     document.get_object()["patch_id"] = patch_id;
     auto result = json::serialize(document);
-    static_cast<void>(parse_configuration(result));
+    auto const next = parse_configuration(result);
+    if (!is_first)
+        check_journals_kept(parse_configuration(text), next);
     return result;
 }
 
--- a/tests/configuration/document_test.cpp
+++ b/tests/configuration/document_test.cpp
@@ -139,4 +139,28 @@
                     configuration::configuration_error);
 }
 
+// A fence would report requests from before the change as not run although they ran (I4).
+TEST_CASE_METHOD(document_fixture, "patch_that_changes_a_journal_is_refused", "[configuration]")
+{
+    replace(R"("services": {)",
+            R"("services": {"lock": {"kind": "at_most_once", "slots": 3, "connections": 9},)");
+    auto const to_journal = R"({"services": {"lock": {"journal": "write_ahead"}}})";
+    CHECK_THROWS_AS(configuration::apply_patch(m_text, to_journal, 8, "p"),
+                    configuration::configuration_error);
+    replace(R"("slots": 3)", R"("slots": 3, "journal": "write_ahead")");
+    CHECK_NOTHROW(configuration::apply_patch(m_text, to_journal, 8, "p"));
+    auto const to_none = R"({"services": {"lock": {"journal": "none"}}})";
+    CHECK_THROWS_AS(configuration::apply_patch(m_text, to_none, 8, "p"),
+                    configuration::configuration_error);
+}
+
+TEST_CASE_METHOD(document_fixture, "patch_of_empty_document_creates_the_first", "[configuration]")
+{
+    replace(R"("version": 7, "patch_id": "initial",)", "");
+    auto const first =
+        configuration::parse_configuration(configuration::apply_patch("{}", m_text, 1, "p"));
+    CHECK(first.version == 1);
+    CHECK(first.services.size() == 1);
+}
+
 } // namespace pistachiohub
