--- a/plugins/admin/admin_duty.cpp
+++ b/plugins/admin/admin_duty.cpp
@@ -187,7 +187,7 @@
                 std::string_view message)
     {
         m_context.own_metrics()
-            .find_counter("pistachiohub_admin_refusals", {"reason", reason})
+            .find_counter("pistachiohub_admin_refusals_total", {"reason", reason})
             .increment();
         reply(make_refusal(code, reason, message));
     }
--- a/plugins/admin/admin_server.cpp
+++ b/plugins/admin/admin_server.cpp
@@ -116,7 +116,7 @@
 
     void refuse_with(unsigned status, std::string_view reason)
     {
-        m_state->counters.find_counter("pistachiohub_admin_refusals", {"reason", reason})
+        m_state->counters.find_counter("pistachiohub_admin_refusals_total", {"reason", reason})
             .increment();
         write({status, "{\"reason\":\"" + std::string(reason) + "\"}"});
     }
@@ -224,7 +224,8 @@
                     std::make_shared<session>(std::move(socket), state)->read();
                 else
                     state->counters
-                        .find_counter("pistachiohub_admin_refusals", {"reason", "connections"})
+                        .find_counter("pistachiohub_admin_refusals_total",
+                                      {"reason", "connections"})
                         .increment();
                 accept();
             });
--- a/plugins/store/store_writer.cpp
+++ b/plugins/store/store_writer.cpp
@@ -256,7 +256,8 @@
 
     void count_call(std::string_view kind, std::string_view call, object_store::status end)
     {
-        auto const name = "pistachiohub_store_" + std::string(kind) + '_' + std::string(call) + 's';
+        auto const name =
+            "pistachiohub_store_" + std::string(kind) + '_' + std::string(call) + "s_total";
         m_context.own_metrics().find_counter(name, {"result", to_string(end)}).increment();
     }
 
--- a/plugins/store/watch_loop.cpp
+++ b/plugins/store/watch_loop.cpp
@@ -72,7 +72,8 @@
     auto const result =
         m_revision ? m_client.watch(m_kind, *m_revision, watch_wait) : m_client.list(m_kind);
     m_context.own_metrics()
-        .find_counter("pistachiohub_store_" + m_kind + "_polls", {"result", to_string(result.end)})
+        .find_counter("pistachiohub_store_" + m_kind + "_polls_total",
+                      {"result", to_string(result.end)})
         .increment();
     if (result.end != status::ok)
     {
--- a/plugins/store/watches.cpp
+++ b/plugins/store/watches.cpp
@@ -15,7 +15,7 @@
 
 void report_invalid(kernel::daemon_context& context, object const& refused, std::string_view error)
 {
-    context.own_metrics().find_counter("pistachiohub_store_invalid_objects").increment();
+    context.own_metrics().find_counter("pistachiohub_store_invalid_objects_total").increment();
     kernel::log_event(kernel::log_level::error,
                       "store",
                       "object_refused",
--- a/tests/admin/admin_duty_test.cpp
+++ b/tests/admin/admin_duty_test.cpp
@@ -139,7 +139,7 @@
     CHECK(m_client.send({"GET", "/healthz", {{"X", std::string(9000, 'x')}}, {}}).status == 431);
     CHECK(m_client.send({"GET", "/health z", {}, {}}).status == 400);
     auto const metrics = get("/metrics").body;
-    CHECK(metrics.find("pistachiohub_admin_refusals{reason=\"unauthorized\"} 2") !=
+    CHECK(metrics.find("pistachiohub_admin_refusals_total{reason=\"unauthorized\"} 2") !=
           std::string::npos);
 }
 
@@ -190,7 +190,7 @@
     CHECK(status.find(R"("configuration_version":4)") != std::string::npos);
     CHECK(status.find(R"("service":"redeem","state":"leaving")") != std::string::npos);
     CHECK(get("/v1/nothing").status == 404);
-    CHECK(get("/v1/status").body.find(R"(admin_refusals{reason=\"unknown_path\"}":1)") !=
+    CHECK(get("/v1/status").body.find(R"(admin_refusals_total{reason=\"unknown_path\"}":1)") !=
           std::string::npos);
     m_store.put("settlement", "host-1.5", R"({"a":1})");
     CHECK(get("/v1/settlement").body == R"({"settlement":[{"a":1}],"journal":[]})");
