--- a/standins/object_store/store.cpp
+++ b/standins/object_store/store.cpp
@@ -86,7 +86,7 @@
 
 void object_store::handle(http_request const& request,
                           kernel::monotonic_time now,
-                          delayed_responder respond)
+                          delayed_responder const& respond)
 {
     if (request.path == "/control")
         respond(handle_control(request), 0);
--- a/standins/object_store/store.hpp
+++ b/standins/object_store/store.hpp
@@ -64,7 +64,9 @@
     void load(std::string_view text);
 
     /// Handles one call; a watch may respond later, from another call or from end_watches().
-    void handle(http_request const& request, kernel::monotonic_time now, delayed_responder respond);
+    void handle(http_request const& request,
+                kernel::monotonic_time now,
+                delayed_responder const& respond);
 
     /// Answers watches whose waiting time has ended.
     void end_watches(kernel::monotonic_time now);
