--- a/bench/document_bench.cpp
+++ b/bench/document_bench.cpp
@@ -36,7 +36,7 @@
 void parse_document(benchmark::State& state)
 {
     auto const text = make_document(static_cast<std::size_t>(state.range(0)));
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(configuration::parse_configuration(text));
     state.counters["bytes"] = static_cast<double>(text.size());
 }
@@ -48,7 +48,7 @@
     messages::configuration_document const content{
         1, make_document(static_cast<std::size_t>(state.range(0)))};
     std::size_t bytes = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         auto const encoded = messages::encode({"host-1", 1, 1, 0, content}, key);
         bytes = encoded.size();
