demo: Derive the bound of the burst from the stated target

Cause: the bound of 80% was lower than the 95% of the target less the tenth of the slots that other callers use. Ruled out: 95% itself; the other callers' share is not counted in the burst.

--- a/meta/demo_faults.py
+++ b/meta/demo_faults.py
@@ -22,9 +22,9 @@
 # Threads that make calls with this deadline keep the rate even when no call is answered before it.
 BURST_DEADLINE_MS = 300
 BURST_THREADS = 512
-# Part of the calls that the slots can run during the burst. Section 1.6 demands 95% with a region lost; the
-# rest allows for the other callers of the service, which use about a tenth of the slots.
-LEAST_COMPLETED = 0.8
+# Part of the calls that the slots can run during the burst: the 95% of section 1.6, less the tenth of the
+# slots that the other callers of the service use.
+LEAST_COMPLETED = 0.85
 # Two seconds for which lookups are valid, the flush and the start.
 ROLLING_S_PER_DAEMON = 4
 
