--- a/standins/load/main.cpp
+++ b/standins/load/main.cpp
@@ -10,7 +10,7 @@
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
 
-#include <atomic>
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <iostream>
@@ -91,15 +91,29 @@
     return 0;
 }
 
-// The owner part of the id is taken from a lookup, as any caller does.
-std::string id_prefix(http_session& daemon, std::string const& service)
+// The owner part of the id is taken from a lookup, as any caller does. The name of the service
+// keeps the ids of several runs apart.
+std::string id_prefix(http_session& daemon, std::string const& endpoint, std::string const& service)
 {
     auto const answer = daemon.get("/v1/lookup?service=" + service);
     auto const document = boost::json::parse(answer.body);
-    auto const& host = document.at("entry_hosts").at(0);
+    auto const& hosts = document.at("entry_hosts").as_array();
+    // Only the measured daemon may own the ids; any other would be told as not the owner.
+    auto const owner =
+        std::find_if(hosts.begin(),
+                     hosts.end(),
+                     [&endpoint](boost::json::value const& listed)
+                     {
+                         return std::string(listed.at("address").as_string()) + ':' +
+                                    std::to_string(listed.at("port").to_number<std::uint16_t>()) ==
+                                endpoint;
+                     });
+    if (owner == hosts.end())
+        throw pistachiohub::kernel::error("the lookup does not list " + endpoint);
+    auto const& host = *owner;
     return std::string(host.at("name").as_string()) + '/' +
            std::to_string(host.at("incarnation").to_number<std::uint64_t>()) + '/' +
-           std::to_string(host.at("epoch").to_number<std::uint32_t>()) + "/load-";
+           std::to_string(host.at("epoch").to_number<std::uint32_t>()) + "/load-" + service + '-';
 }
 
 double
@@ -120,7 +134,7 @@
 {
     http_session direct(chosen.backend_server);
     http_session forwarded(chosen.daemon);
-    auto const prefix = id_prefix(forwarded, chosen.service);
+    auto const prefix = id_prefix(forwarded, chosen.daemon, chosen.service);
     std::vector<double> direct_microseconds;
     std::vector<double> forwarded_microseconds;
     auto const end = steady_clock::now() + std::chrono::seconds(chosen.seconds);
