--- a/tests/operations_page_test.py
+++ b/tests/operations_page_test.py
@@ -93,6 +93,15 @@
     return failures
 
 
+def check_patch_without_version(build, folder):
+    """A patch without a version would be merged into one that its author never saw."""
+    run = subprocess.run([build / "pistachiohub", "config", "patch", "patch.json"], cwd=folder,
+                         capture_output=True, text=True, timeout=COMMAND_TIMEOUT_S, check=False)
+    is_refused = run.returncode == 2 and "--against" in run.stderr
+    print("a patch without --against is refused:", is_refused)
+    return 0 if is_refused else 1
+
+
 def main():
     build = pathlib.Path(sys.argv[1]).resolve()
     with tempfile.TemporaryDirectory() as name:
@@ -101,7 +110,8 @@
         started = start_standins(build, folder)
         try:
             time.sleep(0.3)
-            failures = run_commands(build, folder, started)
+            failures = check_patch_without_version(build, folder)
+            failures += run_commands(build, folder, started)
         finally:
             for process in started:
                 process.terminate()
