--- a/kernel/daemon.cpp
+++ b/kernel/daemon.cpp
@@ -3,6 +3,7 @@
 #include "kernel/clock.hpp"
 #include "kernel/log.hpp"
 #include "kernel/plugin.hpp"
+#include "kernel/settings_file.hpp"
 
 #include <pthread.h>
 
@@ -20,7 +21,8 @@
 namespace
 {
 
-constexpr auto signal_poll_interval = std::chrono::milliseconds(20);
+// Signals end the wait at once; the interval bounds how late the end of a drain is noticed.
+constexpr long signal_wait_ns = 250'000'000;
 // Linux limits the name of a thread to 15 characters.
 constexpr std::size_t longest_thread_name = 15;
 
@@ -31,21 +33,23 @@
     std::thread thread;
 };
 
-// Signals are blocked in every thread and polled here, so no code runs in a signal handler.
-sigset_t block_termination_signals()
+// Signals are blocked in every thread and waited for here, so no code runs in a signal handler.
+sigset_t block_signals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return signals;
 }
 
-bool has_pending_signal(sigset_t const& signals)
+// Returns the signal, or a value below 1 when none arrived in time.
+int wait_for_signal(sigset_t const& signals)
 {
-    timespec const no_wait{};
-    return sigtimedwait(&signals, nullptr, &no_wait) > 0;
+    timespec const longest_wait{0, signal_wait_ns};
+    return sigtimedwait(&signals, nullptr, &longest_wait);
 }
 
 // A duty that throws is a defect. The daemon ends at once, because a daemon without one of its
@@ -77,34 +81,48 @@
     pthread_setname_np(running.thread.native_handle(), thread_name.c_str());
 }
 
-void wait_until_drained(daemon_context& context, sigset_t const& signals)
+void wait_until_drained(daemon_context& context, sigset_t const& signals, settings_file* file)
 {
     while (!context.is_drained())
     {
-        if (has_pending_signal(signals) && !context.is_draining())
+        auto const signal = wait_for_signal(signals);
+        bool const is_termination = signal == SIGTERM || signal == SIGINT;
+        if (is_termination && !context.is_draining())
         {
             log_event(log_level::info, "kernel", "drain_started", {{"cause", "signal"}});
             context.begin_drain();
         }
-        std::this_thread::sleep_for(signal_poll_interval);
+        if (file != nullptr)
+            reload_if_changed(*file, context, signal == SIGHUP);
     }
 }
 
+daemon_part wanted_part(settings const& own_settings)
+{
+    return own_settings.gateway ? daemon_part::gateway : daemon_part::request_interface;
+}
+
 } // namespace
 
-void run_daemon(daemon_context& context)
+void run_daemon(daemon_context& context, settings_file* file)
 {
-    auto const signals = block_termination_signals();
+    auto const signals = block_signals();
+    auto const part = wanted_part(context.own_settings());
     std::vector<running_duty> duties;
     for (auto const& registered : registered_plugins())
-        duties.push_back({registered.name, registered.create(context), {}});
+    {
+        if (registered.part == part)
+            duties.push_back({registered.name, registered.create(context), {}});
+    }
     for (auto& running : duties)
         start_thread(running);
     log_event(log_level::info,
               "kernel",
               "daemon_started",
-              {{"incarnation", context.incarnation()}, {"duties", duties.size()}});
-    wait_until_drained(context, signals);
+              {{"incarnation", context.incarnation()},
+               {"version", PISTACHIOHUB_VERSION},
+               {"duties", duties.size()}});
+    wait_until_drained(context, signals, file);
     for (auto running = duties.rbegin(); running != duties.rend(); ++running)
     {
         running->work->request_stop();
--- a/kernel/daemon_context.hpp
+++ b/kernel/daemon_context.hpp
@@ -14,6 +14,7 @@
 #include <typeindex>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace pistachiohub::kernel
 {
@@ -62,7 +63,23 @@
     /// Starts a graceful shutdown; idempotent and callable from any thread.
     void begin_drain()
     {
-        m_is_draining.store(true);
+        if (m_is_draining.exchange(true))
+            return;
+        std::vector<std::function<void()>> listeners;
+        {
+            std::lock_guard const lock(m_mutex);
+            listeners = m_drain_listeners;
+        }
+        for (auto const& notify : listeners)
+            notify();
+    }
+
+    /// Has `notify` called when a graceful shutdown begins, on the thread that begins it. To be
+    /// called before the daemon runs.
+    void on_drain(std::function<void()> notify)
+    {
+        std::lock_guard const lock(m_mutex);
+        m_drain_listeners.push_back(std::move(notify));
     }
 
     /// @returns true once a graceful shutdown has begun.
@@ -89,6 +106,7 @@
     metrics m_metrics;
     std::mutex m_mutex;
     std::unordered_map<std::type_index, std::shared_ptr<void>> m_shared;
+    std::vector<std::function<void()>> m_drain_listeners;
     std::atomic<bool> m_is_draining{false};
     std::atomic<bool> m_is_drained{false};
 };
--- /dev/null
+++ b/kernel/gateway_settings.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+/// @file
+/// Settings of a daemon that forwards whole HTTP requests (the gateway).
+
+#include "kernel/endpoint.hpp"
+
+#include <boost/json/fwd.hpp>
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace pistachiohub::kernel
+{
+
+/// Bounds that the operator sets for the whole fleet.
+struct gateway_bounds
+{
+    /// Longest time that callers may keep a directory answer.
+    std::chrono::milliseconds directory_ttl{5000};
+    /// Time after which a leaving backend server must get no further request.
+    std::chrono::milliseconds server_drain{2500};
+    /// Time after which a configuration must be in force.
+    std::chrono::milliseconds configuration_apply{2500};
+    /// Time after which backend servers of an evacuated failure domain must get no further request.
+    std::chrono::milliseconds evacuation{5000};
+    /// Time from SIGTERM to the kill of the process.
+    std::chrono::milliseconds shutdown_grace{6000};
+    /// Time after which a silent host counts as gone.
+    std::chrono::milliseconds host_silence{3000};
+    /// Further sends permitted for each request, over all daemons.
+    double retry_ratio = 0.2;
+    /// Further sends permitted in each window beside the ratio, over all daemons.
+    double extra_retries = 0;
+    /// Length of the window of the retry budget.
+    std::chrono::milliseconds retry_window{10000};
+    /// Factor on the rate that a cold backend server tolerates.
+    double cold_factor = 1;
+    /// Requests a second beside that rate.
+    double cold_slack = 0;
+    /// Largest fraction of a region's requests that may change their region within two seconds.
+    double shift = 0.15;
+};
+
+/// What the daemon may use of its host; weighs it against other entry hosts.
+struct host_resources
+{
+    /// Share of a core.
+    double processor = 1;
+    double memory_mb = 256;
+    double descriptors = 1024;
+    double link_mbps = 1000;
+};
+
+/// Settings of the gateway.
+struct gateway_settings
+{
+    /// Name of the registered interface that decodes what the deployment speaks.
+    std::string interface_name;
+    std::string region;
+    /// Region of each failure domain.
+    std::map<std::string, std::string, std::less<>> region_of_domain;
+    endpoint callers;
+    endpoint readiness;
+    endpoint directory;
+    endpoint metrics;
+    /// Interval at which backend servers report to the store.
+    std::chrono::milliseconds server_heartbeat{1500};
+    gateway_bounds bounds;
+    host_resources resources;
+};
+
+/// @param path path of the object from the root of the settings file.
+/// @throws settings_error naming the key, its value and what is permitted.
+[[nodiscard]] gateway_settings read_gateway_settings(boost::json::value const& value,
+                                                     std::string const& path);
+
+} // namespace pistachiohub::kernel
--- a/kernel/log.cpp
+++ b/kernel/log.cpp
@@ -1,11 +1,16 @@
 #include "kernel/log.hpp"
 
+#include "kernel/bounded_output.hpp"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace pistachiohub::kernel
 {
@@ -13,6 +18,33 @@
 namespace
 {
 
+/// Hands formatted lines to a bounded output; log4cxx calls it under its own lock.
+class bounded_appender : public log4cxx::AppenderSkeleton
+{
+public:
+    bounded_appender() = default;
+
+    void append(log4cxx::spi::LoggingEventPtr const& event, log4cxx::helpers::Pool& pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        m_output.write(line);
+    }
+
+    void close() override
+    {
+        m_output.flush();
+    }
+
+    [[nodiscard]] bool requiresLayout() const override
+    {
+        return true;
+    }
+
+private:
+    bounded_output m_output{STDOUT_FILENO};
+};
+
 log4cxx::LevelPtr to_log4cxx(log_level level)
 {
     switch (level)
@@ -57,8 +89,8 @@
 {
     auto layout = std::make_shared<log4cxx::PatternLayout>(
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p host=" + std::string(host) + " area=%c %m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<bounded_appender>();
+    appender->setLayout(layout);
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(to_log4cxx(lowest));
@@ -93,4 +125,23 @@
     logger->log(native_level, line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
+bool log_limiter::admit(monotonic_time now)
+{
+    std::chrono::duration<double> const passed = now - m_filled_at;
+    m_tokens = std::min(m_lines_per_second, m_tokens + passed.count() * m_lines_per_second);
+    m_filled_at = now;
+    if (m_tokens < 1)
+    {
+        ++m_suppressed;
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+std::uint64_t log_limiter::take_suppressed()
+{
+    return std::exchange(m_suppressed, 0);
+}
+
 } // namespace pistachiohub::kernel
--- a/kernel/log.hpp
+++ b/kernel/log.hpp
@@ -3,6 +3,8 @@
 /// @file
 /// Structured logs over log4cxx: one line per event, with fields in place of prose.
 
+#include "kernel/clock.hpp"
+
 #include <cstdint>
 #include <initializer_list>
 #include <span>
@@ -42,7 +44,8 @@
     std::string value;
 };
 
-/// Starts logging to standard error.
+/// Starts logging to standard output. A slow reader of it loses lines, which are counted, and never
+/// delays the daemon.
 /// @param host the name of this process in each line.
 /// @param lowest events below this level are dropped.
 void start_log(std::string_view host, log_level lowest);
@@ -60,4 +63,29 @@
                 std::string_view event,
                 std::span<log_field const> fields);
 
+/// Bounds the lines of one event: a burst of one second's worth, then an even rate. Used by one
+/// thread.
+class log_limiter
+{
+public:
+    /// @param lines_per_second largest rate in the long run.
+    explicit log_limiter(double lines_per_second)
+        : m_lines_per_second(lines_per_second)
+        , m_tokens(lines_per_second)
+    {
+    }
+
+    /// @returns whether the line may be written; otherwise it counts as suppressed.
+    [[nodiscard]] bool admit(monotonic_time now);
+
+    /// @returns the lines suppressed since the last call.
+    [[nodiscard]] std::uint64_t take_suppressed();
+
+private:
+    double m_lines_per_second;
+    double m_tokens;
+    monotonic_time m_filled_at;
+    std::uint64_t m_suppressed = 0;
+};
+
 } // namespace pistachiohub::kernel
--- a/kernel/metrics.cpp
+++ b/kernel/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -27,6 +28,12 @@
     return static_cast<prometheus::Counter const*>(m_counter)->Value();
 }
 
+void latency_histogram::observe(double seconds)
+{
+    assert(m_histogram != nullptr);
+    static_cast<prometheus::Histogram*>(m_histogram)->Observe(seconds);
+}
+
 metrics::metrics()
     : m_implementation(std::make_unique<implementation>())
 {
@@ -44,11 +51,30 @@
 }
 
 counter metrics::find_counter(std::string_view name, metric_label label)
+{
+    return find_counter(name, std::initializer_list<metric_label>{label});
+}
+
+counter metrics::find_counter(std::string_view name, std::initializer_list<metric_label> labels)
 {
     auto& family =
         prometheus::BuildCounter().Name(std::string(name)).Register(m_implementation->registry);
+    prometheus::Labels own;
+    for (auto const& label : labels)
+        own.emplace(label.name, label.value);
     counter found;
-    found.m_counter = &family.Add({{std::string(label.name), std::string(label.value)}});
+    found.m_counter = &family.Add(own);
+    return found;
+}
+
+latency_histogram metrics::find_latency(std::string_view name, metric_label label)
+{
+    static prometheus::Histogram::BucketBoundaries const bounds{
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0};
+    auto& family =
+        prometheus::BuildHistogram().Name(std::string(name)).Register(m_implementation->registry);
+    latency_histogram found;
+    found.m_histogram = &family.Add({{std::string(label.name), std::string(label.value)}}, bounds);
     return found;
 }
 
--- a/kernel/metrics.hpp
+++ b/kernel/metrics.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Counters and gauges over prometheus-cpp, which stays inside the implementation file.
 
+#include <initializer_list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,6 +33,18 @@
     void* m_counter = nullptr;
 };
 
+/// A handle to one histogram of times.
+class latency_histogram
+{
+public:
+    /// Adds one observation, in seconds.
+    void observe(double seconds);
+
+private:
+    friend class metrics;
+    void* m_histogram = nullptr;
+};
+
 /// The registry of a daemon's metrics; all calls are thread-safe.
 class metrics
 {
@@ -47,6 +60,14 @@
     /// @returns the counter `name` with one label, made on first use.
     [[nodiscard]] counter find_counter(std::string_view name, metric_label label);
 
+    /// @returns the counter `name` with several labels, made on first use.
+    [[nodiscard]] counter find_counter(std::string_view name,
+                                       std::initializer_list<metric_label> labels);
+
+    /// @returns the histogram `name` with one label, made on first use. Its bounds reach from 5 ms
+    /// to 10 s.
+    [[nodiscard]] latency_histogram find_latency(std::string_view name, metric_label label);
+
     /// Sets the gauge `name`.
     void set_gauge(std::string_view name, double value);
 
--- a/kernel/plugin.hpp
+++ b/kernel/plugin.hpp
@@ -28,6 +28,15 @@
     virtual void request_stop() = 0;
 };
 
+/// The part of the daemon to which a plug-in belongs; the settings choose one.
+enum class daemon_part
+{
+    /// The project's own interface for lookups and requests with ids.
+    request_interface,
+    /// Forwarding of whole HTTP requests.
+    gateway
+};
+
 /// A registered kind of duty.
 struct plugin
 {
@@ -37,6 +46,7 @@
     int start_order = 0;
     /// Makes the duty; throws kernel::error when the settings do not allow it to start.
     std::unique_ptr<duty> (*create)(daemon_context& context) = nullptr;
+    daemon_part part = daemon_part::request_interface;
 };
 
 /// Registers a plug-in during static initialisation.
--- a/kernel/settings.hpp
+++ b/kernel/settings.hpp
@@ -4,9 +4,11 @@
 /// Settings of one daemon, read once at its start.
 
 #include "kernel/error.hpp"
+#include "kernel/gateway_settings.hpp"
 #include "kernel/log.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,13 +16,6 @@
 namespace pistachiohub::kernel
 {
 
-/// An IP address and a port.
-struct endpoint
-{
-    std::string address;
-    std::uint16_t port = 0;
-};
-
 /// Another daemon that is known before the host list is read.
 struct seed_peer
 {
@@ -30,7 +25,8 @@
     std::uint16_t peer_port = 0;
 };
 
-/// Settings of one daemon.
+/// Settings of one daemon. It runs either the request interface of its own, which takes ports, keys
+/// and seed peers, or the gateway.
 struct settings
 {
     /// Name of the entry host, unique in the fleet.
@@ -48,6 +44,7 @@
     /// Bearer token for the operator API.
     std::string admin_key;
     std::vector<seed_peer> seed_peers;
+    std::optional<gateway_settings> gateway;
     log_level lowest_log_level = log_level::info;
 };
 
--- /dev/null
+++ b/libraries/events/gateway_event.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+/// @file
+/// Messages to the gateway duty.
+
+#include "kernel/clock.hpp"
+#include "libraries/fleet/backend_server.hpp"
+#include "libraries/routing/route.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pistachiohub::events
+{
+
+/// A failure domain to whose backend servers nothing more may be sent.
+struct evacuation
+{
+    std::string failure_domain;
+};
+
+/// One object of the store, as it was read.
+template<class Record>
+struct change
+{
+    std::string name;
+    /// Version of the object; 0 when it was removed without one.
+    std::uint64_t version = 0;
+    /// Missing when the object was removed or cannot be read.
+    std::optional<Record> record;
+};
+
+/// Objects of one kind that were read from the store.
+template<class Record>
+struct store_update
+{
+    /// Whether `changes` holds all objects of the kind.
+    bool is_complete = false;
+    std::uint64_t revision = 0;
+    std::vector<change<Record>> changes;
+};
+
+/// The store was lost or regained by one reader.
+struct store_contact
+{
+    std::string kind;
+    bool is_reachable = false;
+};
+
+/// A graceful shutdown began.
+struct drain_begun
+{
+};
+
+/// What the gateway duty handles, in the order of arrival.
+using gateway_event = std::variant<store_update<routing::routing_document>,
+                                   store_update<fleet::backend_server>,
+                                   store_update<evacuation>,
+                                   store_update<fleet::entry_host>,
+                                   store_contact,
+                                   drain_begun>;
+
+} // namespace pistachiohub::events
--- /dev/null
+++ b/libraries/fleet/backend_server.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// What the store says of backend servers, entry hosts and evacuations.
+
+#include "kernel/endpoint.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace pistachiohub::fleet
+{
+
+/// A backend server as it registered itself.
+struct backend_server
+{
+    std::string id;
+    std::string service;
+    kernel::endpoint address;
+    std::string failure_domain;
+    /// Requests that it runs at the same time.
+    std::uint32_t slots = 1;
+    bool is_leaving = false;
+    /// How much longer it stays cold, counted from its last report.
+    std::chrono::milliseconds cold_remaining{0};
+    /// Wall clock of its start in milliseconds. Another value under the same id is another process.
+    std::uint64_t started_at_ms = 0;
+};
+
+/// An entry host as its daemon registered itself.
+struct entry_host
+{
+    std::string name;
+    /// Where callers connect.
+    kernel::endpoint callers;
+    std::string failure_domain;
+    std::string region;
+    std::uint64_t incarnation = 0;
+    /// Grows with each report of the same incarnation.
+    std::uint64_t report = 0;
+    bool is_leaving = false;
+    /// Weight among the entry hosts of its failure domain.
+    double capacity = 1;
+};
+
+} // namespace pistachiohub::fleet
--- /dev/null
+++ b/libraries/fleet/entry_host_document.cpp
@@ -0,0 +1,54 @@
+#include "libraries/fleet/entry_host_document.hpp"
+
+#include <boost/json.hpp>
+
+#include <exception>
+
+namespace pistachiohub::fleet
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+} // namespace
+
+std::string to_document(entry_host const& host)
+{
+    return json::serialize(json::object{{"address", host.callers.address},
+                                        {"caller_port", host.callers.port},
+                                        {"failure_domain", host.failure_domain},
+                                        {"region", host.region},
+                                        {"incarnation", host.incarnation},
+                                        {"report", host.report},
+                                        {"is_leaving", host.is_leaving},
+                                        {"capacity", host.capacity}});
+}
+
+entry_host parse_entry_host(std::string_view name, std::string_view text)
+{
+    try
+    {
+        auto const document = json::parse(text);
+        auto const& members = document.as_object();
+        entry_host host;
+        host.name = name;
+        host.callers.address = std::string(members.at("address").as_string());
+        host.callers.port = members.at("caller_port").to_number<std::uint16_t>();
+        host.failure_domain = std::string(members.at("failure_domain").as_string());
+        host.region = std::string(members.at("region").as_string());
+        host.incarnation = members.at("incarnation").to_number<std::uint64_t>();
+        host.report = members.at("report").to_number<std::uint64_t>();
+        host.is_leaving = members.at("is_leaving").as_bool();
+        host.capacity = members.at("capacity").to_number<double>();
+        return host;
+    }
+    // Boost.JSON reports a document of another form by exceptions of the standard library.
+    catch (std::exception const& failure)
+    {
+        throw entry_host_error("entry host " + std::string(name) + ": " + failure.what());
+    }
+}
+
+} // namespace pistachiohub::fleet
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,5 +1,7 @@
 #include "libraries/http/client.hpp"
 
+#include "libraries/http/silence_limit.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -140,6 +142,7 @@
         }
         // Small requests must not wait for the acknowledgement of an earlier one.
         stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+        set_silence_limit(stream.socket().native_handle(), limits.silence_limit);
     }
 
     [[noreturn]] void fail(boost::system::error_code failure, std::string_view step)
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -85,6 +85,8 @@
     kernel::duration connect_timeout = std::chrono::milliseconds(1000);
     /// Time from the start of sending to the end of the answer.
     kernel::duration read_timeout = std::chrono::milliseconds(5000);
+    /// Time after which a connection whose server acknowledges nothing counts as broken.
+    kernel::duration silence_limit = std::chrono::seconds(3);
     /// Largest body of an answer, in bytes.
     std::size_t largest_answer = std::size_t{64} << 20;
 };
--- a/plugins/admin/admin_server.cpp
+++ b/libraries/http/server.cpp
@@ -1,4 +1,4 @@
-#include "plugins/admin/admin_server.hpp"
+#include "libraries/http/server.hpp"
 
 #include "kernel/log.hpp"
 
@@ -12,7 +12,7 @@
 #include <chrono>
 #include <optional>
 
-namespace pistachiohub::admin
+namespace pistachiohub::http
 {
 
 namespace
@@ -35,6 +35,7 @@
 {
     request_handler handle;
     kernel::metrics& counters;
+    std::string refusal_counter;
     std::size_t connections = 0;
 };
 
@@ -84,7 +85,7 @@
         m_is_kept = message.keep_alive();
         std::string const target(message.target());
         auto const query = target.find('?');
-        admin_request wanted;
+        server_request wanted;
         wanted.method = message.method_string();
         wanted.path = target.substr(0, query);
         wanted.query = query == std::string::npos ? "" : target.substr(query + 1);
@@ -93,7 +94,7 @@
         // The answer of the store may take longer than an idle connection is kept.
         m_stream.expires_never();
         m_state->handle(wanted,
-                        [self = shared_from_this()](admin_reply answer)
+                        [self = shared_from_this()](server_reply answer)
                         {
                             self->write(std::move(answer));
                         });
@@ -116,12 +117,11 @@
 
     void refuse_with(unsigned status, std::string_view reason)
     {
-        m_state->counters.find_counter("pistachiohub_admin_refusals_total", {"reason", reason})
-            .increment();
+        m_state->counters.find_counter(m_state->refusal_counter, {"reason", reason}).increment();
         write({status, "{\"reason\":\"" + std::string(reason) + "\"}"});
     }
 
-    void write(admin_reply answer)
+    void write(server_reply answer)
     {
         m_response = {};
         m_response.version(11);
@@ -177,7 +177,7 @@
 
 } // namespace
 
-struct admin_server::implementation
+struct server::implementation
 {
     implementation(kernel::event_loop& own_loop, std::shared_ptr<shared_state> own_state)
         : loop(own_loop)
@@ -198,8 +198,8 @@
         }
         catch (boost::system::system_error const& failure)
         {
-            throw listen_error("cannot listen on admin port " + address + ':' +
-                               std::to_string(wanted_port) + ": " + failure.what());
+            throw listen_error("cannot listen on " + address + ':' + std::to_string(wanted_port) +
+                               ": " + failure.what());
         }
     }
 
@@ -223,9 +223,7 @@
                 if (state->connections < most_connections)
                     std::make_shared<session>(std::move(socket), state)->read();
                 else
-                    state->counters
-                        .find_counter("pistachiohub_admin_refusals_total",
-                                      {"reason", "connections"})
+                    state->counters.find_counter(state->refusal_counter, {"reason", "connections"})
                         .increment();
                 accept();
             });
@@ -236,18 +234,20 @@
     std::shared_ptr<shared_state> state;
 };
 
-admin_server::admin_server(kernel::event_loop& loop,
-                           kernel::metrics& counters,
-                           std::string const& address,
-                           std::uint16_t port,
-                           request_handler handle)
+server::server(kernel::event_loop& loop,
+               kernel::metrics& counters,
+               std::string refusal_counter,
+               kernel::endpoint const& own,
+               request_handler handle)
     : m_implementation(std::make_unique<implementation>(
-          loop, std::make_shared<shared_state>(shared_state{std::move(handle), counters})))
+          loop,
+          std::make_shared<shared_state>(
+              shared_state{std::move(handle), counters, std::move(refusal_counter)})))
 {
-    m_implementation->listen(address, port);
+    m_implementation->listen(own.address, own.port);
     m_implementation->accept();
 }
 
-admin_server::~admin_server() = default;
+server::~server() = default;
 
-} // namespace pistachiohub::admin
+} // namespace pistachiohub::http
--- a/plugins/admin/admin_server.hpp
+++ b/libraries/http/server.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 /// @file
-/// HTTP server of the admin duty. Beast stays inside the implementation file.
+/// A small HTTP server for whole requests of bounded size. Beast stays inside the implementation
+/// file.
 
+#include "kernel/endpoint.hpp"
 #include "kernel/error.hpp"
 #include "kernel/event_loop.hpp"
 #include "kernel/metrics.hpp"
@@ -12,18 +14,18 @@
 #include <memory>
 #include <string>
 
-namespace pistachiohub::admin
+namespace pistachiohub::http
 {
 
-/// The admin port cannot be opened.
+/// The port cannot be opened.
 class listen_error : public kernel::error
 {
 public:
     using error::error;
 };
 
-/// A whole request of an operator.
-struct admin_request
+/// A whole request.
+struct server_request
 {
     std::string method;
     /// Path without query.
@@ -34,8 +36,8 @@
     std::string body;
 };
 
-/// An answer to an operator.
-struct admin_reply
+/// An answer.
+struct server_reply
 {
     unsigned status = 200;
     std::string body;
@@ -43,28 +45,29 @@
 };
 
 /// Sends the answer to one request; callable once, on the loop's thread.
-using reply_function = std::function<void(admin_reply)>;
+using reply_function = std::function<void(server_reply)>;
 
 /// Handles a request on the loop's thread; may answer later.
-using request_handler = std::function<void(admin_request const&, reply_function const&)>;
+using request_handler = std::function<void(server_request const&, reply_function const&)>;
 
 /// Accepts connections and reads requests of bounded size.
-class admin_server
+class server
 {
 public:
+    /// @param refusal_counter name of the counter of refused requests, with the label `reason`.
     /// @throws listen_error when the address is not available.
-    admin_server(kernel::event_loop& loop,
-                 kernel::metrics& counters,
-                 std::string const& address,
-                 std::uint16_t port,
-                 request_handler handle);
-    ~admin_server();
-    admin_server(admin_server const&) = delete;
-    admin_server& operator=(admin_server const&) = delete;
+    server(kernel::event_loop& loop,
+           kernel::metrics& counters,
+           std::string refusal_counter,
+           kernel::endpoint const& own,
+           request_handler handle);
+    ~server();
+    server(server const&) = delete;
+    server& operator=(server const&) = delete;
 
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
 };
 
-} // namespace pistachiohub::admin
+} // namespace pistachiohub::http
--- /dev/null
+++ b/libraries/http/silence_limit.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+/// @file
+/// Detection of connections that went dead without a reset.
+
+#include "kernel/clock.hpp"
+
+namespace pistachiohub::http
+{
+
+/// Has the kernel probe an idle connection, and break it when the other side acknowledges neither
+/// data nor probes for about `limit`.
+/// @param socket a connected TCP socket.
+void set_silence_limit(int socket, kernel::duration limit);
+
+} // namespace pistachiohub::http
--- /dev/null
+++ b/libraries/object_store/dialect.cpp
@@ -0,0 +1,147 @@
+#include "libraries/object_store/dialect.hpp"
+
+#include <boost/json.hpp>
+
+namespace pistachiohub::object_store
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_not_found = 404;
+constexpr unsigned http_conflict = 412;
+constexpr unsigned http_over_rate = 429;
+constexpr unsigned http_server_error = 500;
+constexpr unsigned http_outage = 503;
+
+status read_status(unsigned code)
+{
+    switch (code)
+    {
+    case http_ok:
+        return status::ok;
+    case http_not_found:
+        return status::missing;
+    case http_over_rate:
+        return status::over_rate;
+    default:
+        return status::outage;
+    }
+}
+
+// An error of the server other than the documented 503 does not say whether the write took effect.
+status write_status(unsigned code)
+{
+    switch (code)
+    {
+    case http_ok:
+        return status::ok;
+    case http_conflict:
+        return status::conflict;
+    case http_over_rate:
+        return status::over_rate;
+    case http_outage:
+        return status::outage;
+    default:
+        return code >= http_server_error ? status::lost_answer : status::outage;
+    }
+}
+
+object to_object(json::value const& value)
+{
+    auto const& members = value.as_object();
+    object result;
+    result.name = members.at("name").as_string();
+    result.version = members.at("version").to_number<std::uint64_t>();
+    result.value = json::serialize(members.at("value"));
+    return result;
+}
+
+object decode_object(std::string_view body)
+{
+    return to_object(json::parse(body));
+}
+
+page decode_list(std::string_view body)
+{
+    auto const document = json::parse(body);
+    auto const& members = document.as_object();
+    page result;
+    result.revision = members.at("revision").to_number<std::uint64_t>();
+    for (auto const& item : members.at("objects").as_array())
+        result.objects.push_back(to_object(item));
+    return result;
+}
+
+std::uint64_t decode_written(std::string_view body)
+{
+    auto const document = json::parse(body);
+    return document.as_object().at("version").to_number<std::uint64_t>();
+}
+
+std::string object_target(std::string_view kind, std::string_view name)
+{
+    return "/objects/" + std::string(kind) + '/' + std::string(name);
+}
+
+http::request make_read(std::string_view kind, std::string_view name)
+{
+    return {"GET", object_target(kind, name), {}, {}};
+}
+
+// This object API returns all objects of a kind at once.
+http::request make_list(std::string_view kind, std::string_view)
+{
+    return {"GET", "/objects/" + std::string(kind), {}, {}};
+}
+
+http::request
+make_watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait)
+{
+    return {"GET",
+            "/watch/" + std::string(kind) + "?after=" + std::to_string(revision) +
+                "&wait_ms=" + std::to_string(wait.count()),
+            {},
+            {}};
+}
+
+http::request make_write(std::string_view kind,
+                         std::string_view name,
+                         std::uint64_t expected_version,
+                         std::string value)
+{
+    return {"PUT",
+            object_target(kind, name),
+            {{"If-Match", std::to_string(expected_version)}},
+            std::move(value)};
+}
+
+http::request
+make_remove(std::string_view kind, std::string_view name, std::uint64_t expected_version)
+{
+    return {
+        "DELETE", object_target(kind, name), {{"If-Match", std::to_string(expected_version)}}, {}};
+}
+
+} // namespace
+
+dialect const& native_dialect()
+{
+    static dialect const spoken{make_read,
+                                make_list,
+                                make_watch,
+                                make_write,
+                                make_remove,
+                                read_status,
+                                write_status,
+                                decode_object,
+                                decode_list,
+                                decode_list,
+                                decode_written};
+    return spoken;
+}
+
+} // namespace pistachiohub::object_store
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -6,6 +6,8 @@
 #include "kernel/clock.hpp"
 #include "kernel/settings.hpp"
 #include "libraries/http/client.hpp"
+#include "libraries/object_store/dialect.hpp"
+#include "libraries/object_store/object.hpp"
 
 #include <cstdint>
 #include <string>
@@ -18,36 +20,6 @@
 /// Largest value that the store holds, in bytes.
 inline constexpr std::size_t largest_value = 1'000'000;
 
-/// How a call ended.
-enum class status
-{
-    ok,
-    /// A read: the object does not exist.
-    missing,
-    /// A write: the object has another version, so nothing was written.
-    conflict,
-    /// The store refused the call because of its rate; nothing was written.
-    over_rate,
-    /// The store cannot be reached or refused the call; nothing was written.
-    outage,
-    /// A write: no answer came, so the write may have taken effect, now or later.
-    lost_answer,
-    /// cancel() ended the call; a write may have taken effect.
-    cancelled
-};
-
-/// @returns the name used in logs and metric labels.
-[[nodiscard]] std::string_view to_string(status value);
-
-/// An object of the store.
-struct object
-{
-    std::string name;
-    std::uint64_t version = 0;
-    /// JSON text.
-    std::string value;
-};
-
 /// Result of reading one object.
 struct read_result
 {
@@ -75,12 +47,15 @@
 class client
 {
 public:
-    explicit client(kernel::endpoint const& store, http::client_limits limits = {});
+    explicit client(kernel::endpoint const& store,
+                    http::client_limits limits = {},
+                    dialect const& spoken = native_dialect());
 
     /// Reads one object.
     [[nodiscard]] read_result read(std::string_view kind, std::string_view name);
 
-    /// Reads all objects of a kind.
+    /// Reads all objects of a kind, page by page. The revision is that of the first page, so that a
+    /// watch from there misses nothing.
     [[nodiscard]] list_result list(std::string_view kind);
 
     /// Waits up to `wait` for objects that changed after `revision`.
@@ -93,13 +68,22 @@
                                      std::uint64_t expected_version,
                                      std::string value);
 
+    /// Removes an object if it has `expected_version`.
+    [[nodiscard]] write_result
+    remove(std::string_view kind, std::string_view name, std::uint64_t expected_version);
+
     /// Ends the current call and makes all later ones fail with `status::cancelled`.
     void cancel();
 
 private:
-    [[nodiscard]] list_result read_list(std::string target, kernel::duration read_timeout);
+    [[nodiscard]] list_result read_page(http::request const& wanted,
+                                        kernel::duration read_timeout,
+                                        page (*decode)(std::string_view body),
+                                        bool& has_more);
+    [[nodiscard]] write_result change(http::request const& wanted);
 
     http::client_limits m_limits;
+    dialect m_dialect;
     http::client m_http;
 };
 
--- /dev/null
+++ b/libraries/routing/route.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// Routes, services and limits of one version of the gateway's configuration.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pistachiohub::routing
+{
+
+/// What may be repeated.
+enum class request_kind
+{
+    idempotent,
+    at_most_once
+};
+
+/// One of the services among which a route distributes its requests.
+struct split_part
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
+/// Where requests of one host and path prefix go, and how.
+struct route
+{
+    std::string name;
+    /// In lower case, without a port.
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string path_prefix;
+    request_kind kind = request_kind::at_most_once;
+    /// Longest time that a caller waits for its answer.
+    std::chrono::milliseconds timeout{0};
+    /// Time within which an answer is of full use to the caller.
+    std::chrono::milliseconds target_latency{0};
+    /// 0 is the highest.
+    std::uint32_t priority = 0;
+    /// Backend servers to which one request may be sent.
+    std::uint32_t most_attempts = 1;
+    /// Whether a backend server that knows the object answers faster.
+    bool has_affinity = false;
+    /// Never empty; a single part has all requests.
+    std::vector<split_part> split;
+    /// Regions that may serve the route; empty permits all.
+    std::vector<std::string> home_regions;
+};
+
+/// A group of backend servers with the same work.
+struct service
+{
+    std::string name;
+    std::string health_path;
+    std::uint32_t most_connections = 0;
+    std::chrono::milliseconds cold_time{0};
+    /// Requests a second that a cold backend server tolerates.
+    double cold_requests_per_second = 0;
+};
+
+/// What callers may send, and how long they may take.
+struct caller_limits
+{
+    std::uint32_t header_bytes = 16384;
+    std::uint64_t body_bytes = 67'108'864;
+    std::chrono::milliseconds header_time{3000};
+    std::chrono::milliseconds idle_time{15000};
+};
+
+/// One version of the configuration.
+struct routing_document
+{
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service> services;
+    caller_limits limits;
+};
+
+} // namespace pistachiohub::routing
--- a/plugins/admin/admin_duty.cpp
+++ b/plugins/admin/admin_duty.cpp
@@ -5,7 +5,7 @@
 #include "libraries/configuration/document.hpp"
 #include "libraries/events/control_event.hpp"
 #include "libraries/events/forward_event.hpp"
-#include "plugins/admin/admin_server.hpp"
+#include "libraries/http/server.hpp"
 #include "plugins/admin/bearer_token.hpp"
 #include "plugins/admin/config_patch.hpp"
 #include "plugins/admin/status_report.hpp"
@@ -36,12 +36,12 @@
 constexpr unsigned http_unavailable = 503;
 constexpr unsigned http_unknown = 504;
 
-admin_reply make_refusal(unsigned code, std::string_view reason, std::string_view message)
+http::server_reply make_refusal(unsigned code, std::string_view reason, std::string_view message)
 {
     return {code, json::serialize(json::object{{"reason", reason}, {"message", message}})};
 }
 
-admin_reply to_reply(patch_result const& result)
+http::server_reply to_reply(patch_result const& result)
 {
     switch (result.end)
     {
@@ -72,7 +72,7 @@
     return text + ']';
 }
 
-admin_reply read_ledgers(object_store::client& store, bool has_journals)
+http::server_reply read_ledgers(object_store::client& store, bool has_journals)
 {
     auto const settlements = store.list("settlement");
     auto const journals =
@@ -84,7 +84,7 @@
                 ",\"journal\":" + join_values(journals.objects) + '}'};
 }
 
-admin_reply read_configuration(object_store::client& store)
+http::server_reply read_configuration(object_store::client& store)
 {
     auto const current = store.read("configuration", "current");
     if (current.end == status::ok)
@@ -121,9 +121,9 @@
         , m_world(context.shared<kernel::snapshot<view::world_view>>())
         , m_server(m_loop,
                    context.own_metrics(),
-                   context.own_settings().address,
-                   context.own_settings().admin_port,
-                   [this](admin_request const& wanted, reply_function const& reply)
+                   "pistachiohub_admin_refusals_total",
+                   {context.own_settings().address, context.own_settings().admin_port},
+                   [this](http::server_request const& wanted, http::reply_function const& reply)
                    {
                        handle(wanted, reply);
                    })
@@ -147,10 +147,11 @@
         std::string_view method;
         std::string_view path;
         bool is_open;
-        void (admin_duty::*handle)(admin_request const& wanted, reply_function const& reply);
+        void (admin_duty::*handle)(http::server_request const& wanted,
+                                   http::reply_function const& reply);
     };
 
-    void handle(admin_request const& wanted, reply_function const& reply)
+    void handle(http::server_request const& wanted, http::reply_function const& reply)
     {
         static constexpr std::array<route, 9> routes{{
             {"GET", "/healthz", true, &admin_duty::answer_health},
@@ -181,7 +182,7 @@
         refuse(reply, http_not_found, "unknown_path", wanted.path);
     }
 
-    void refuse(reply_function const& reply,
+    void refuse(http::reply_function const& reply,
                 unsigned code,
                 std::string_view reason,
                 std::string_view message)
@@ -194,7 +195,7 @@
 
     /// Runs `work` on the worker's thread and sends its answer from the loop's thread.
     template<class Work>
-    void answer_from_store(reply_function const& reply, Work work)
+    void answer_from_store(http::reply_function const& reply, Work work)
     {
         // The reply is moved on to the loop, because a connection must be destroyed on its thread.
         auto job =
@@ -211,12 +212,12 @@
             refuse(reply, http_unavailable, "admin_overloaded", "too many store calls wait");
     }
 
-    void answer_health(admin_request const&, reply_function const& reply)
+    void answer_health(http::server_request const&, http::reply_function const& reply)
     {
         reply({http_ok, "ok\n", "text/plain"});
     }
 
-    void answer_readiness(admin_request const&, reply_function const& reply)
+    void answer_readiness(http::server_request const&, http::reply_function const& reply)
     {
         auto const* const world = m_world.get();
         if (world == nullptr || world->configuration == nullptr)
@@ -227,22 +228,22 @@
             reply({http_ok, "ready\n", "text/plain"});
     }
 
-    void answer_metrics(admin_request const&, reply_function const& reply)
+    void answer_metrics(http::server_request const&, http::reply_function const& reply)
     {
         reply({http_ok, m_context.own_metrics().text(), "text/plain; version=0.0.4"});
     }
 
-    void answer_status(admin_request const&, reply_function const& reply)
+    void answer_status(http::server_request const&, http::reply_function const& reply)
     {
         reply({http_ok, make_status(m_context, m_world.get())});
     }
 
-    void answer_configuration(admin_request const&, reply_function const& reply)
+    void answer_configuration(http::server_request const&, http::reply_function const& reply)
     {
         answer_from_store(reply, read_configuration);
     }
 
-    void answer_settlement(admin_request const& wanted, reply_function const& reply)
+    void answer_settlement(http::server_request const& wanted, http::reply_function const& reply)
     {
         answer_from_store(reply,
                           [has_journals = wanted.query == "journals=1"](auto& store)
@@ -251,7 +252,7 @@
                           });
     }
 
-    void answer_patch(admin_request const& wanted, reply_function const& reply)
+    void answer_patch(http::server_request const& wanted, http::reply_function const& reply)
     {
         patch_request patch;
         try
@@ -271,7 +272,7 @@
     }
 
     // Runs on the worker's thread.
-    admin_reply apply(object_store::client& store, patch_request const& patch)
+    http::server_reply apply(object_store::client& store, patch_request const& patch)
     {
         auto const result = apply_to_store(store, patch);
         auto reply = to_reply(result);
@@ -298,7 +299,7 @@
         static_cast<void>(control.try_push(std::move(event)));
     }
 
-    void answer_drain(admin_request const&, reply_function const& reply)
+    void answer_drain(http::server_request const&, http::reply_function const& reply)
     {
         kernel::log_event(
             kernel::log_level::info, "admin", "drain_started", {{"cause", "operator"}});
@@ -306,7 +307,7 @@
         reply({http_accepted, "{\"is_draining\":true}"});
     }
 
-    void answer_release(admin_request const& wanted, reply_function const& reply)
+    void answer_release(http::server_request const& wanted, http::reply_function const& reply)
     {
         auto const fingerprint = parse_fingerprint(wanted.body);
         if (!fingerprint)
@@ -327,7 +328,7 @@
     kernel::daemon_context& m_context;
     kernel::snapshot_reader<view::world_view> m_world;
     kernel::event_loop m_loop;
-    admin_server m_server;
+    http::server m_server;
     // Destroyed first, because its jobs post to the loop.
     store_worker m_worker;
 };
--- /dev/null
+++ b/plugins/discovery/feeds.cpp
@@ -0,0 +1,129 @@
+/// @file
+/// Registers the duties that read the store for the gateway.
+
+#include "kernel/log.hpp"
+#include "libraries/fleet/entry_host_document.hpp"
+#include "plugins/discovery/object_feed.hpp"
+
+#include <chrono>
+
+namespace pistachiohub::discovery
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Backend servers report all the time, so changes are read in batches. Leaving servers must be left
+// within seconds.
+constexpr feed_rhythm server_rhythm{milliseconds(1000), milliseconds(700)};
+// Configurations and evacuations are rare; a waiting watch brings them at once.
+constexpr feed_rhythm rare_rhythm{milliseconds(5000), milliseconds(50)};
+// Entry hosts report all the time; a silent one must leave the directory within seconds.
+constexpr feed_rhythm entry_host_rhythm{milliseconds(1000), milliseconds(1000)};
+
+constexpr int first_start_order = 110;
+
+interface::deployment_interface const& interface_of(kernel::daemon_context& context)
+{
+    return interface::find_interface(context.own_settings().gateway->interface_name);
+}
+
+void log_unreadable(kernel::daemon_context& context,
+                    std::string_view kind,
+                    object_store::object const& read,
+                    kernel::error const& failure)
+{
+    context.own_metrics()
+        .find_counter("pistachiohub_discovery_unreadable_objects_total", {"kind", kind})
+        .increment();
+    kernel::log_event(kernel::log_level::warning,
+                      "discovery",
+                      "object_unreadable",
+                      {{"kind", kind},
+                       {"name", std::string_view(read.name)},
+                       {"version", read.version},
+                       {"error", std::string_view(failure.what())}});
+}
+
+/// Makes a feed that decodes each object by `decode`, which may throw kernel::error. An object that
+/// cannot be read counts as absent; the others hold.
+template<class Record, class Decode>
+std::unique_ptr<kernel::duty> make_feed(kernel::daemon_context& context,
+                                        std::string_view kind,
+                                        feed_rhythm const& rhythm,
+                                        Decode decode)
+{
+    auto convert = [&context, kind, decode](bool is_complete, object_store::list_result const& read)
+    {
+        events::store_update<Record> update{is_complete, read.revision, {}};
+        for (auto const& object : read.objects)
+        {
+            events::change<Record> changed{object.name, object.version, std::nullopt};
+            try
+            {
+                if (!object.is_removed)
+                    changed.record = decode(object);
+            }
+            catch (kernel::error const& failure)
+            {
+                log_unreadable(context, kind, object, failure);
+            }
+            update.changes.push_back(std::move(changed));
+        }
+        return events::gateway_event(std::move(update));
+    };
+    return std::make_unique<object_feed>(context, interface_of(context), kind, rhythm, convert);
+}
+
+std::unique_ptr<kernel::duty> create_configuration_feed(kernel::daemon_context& context)
+{
+    auto const& spoken = interface_of(context);
+    return make_feed<routing::routing_document>(
+        context, spoken.kinds.configuration, rare_rhythm, spoken.decode_configuration);
+}
+
+std::unique_ptr<kernel::duty> create_server_feed(kernel::daemon_context& context)
+{
+    auto const& spoken = interface_of(context);
+    return make_feed<fleet::backend_server>(
+        context, spoken.kinds.backend_servers, server_rhythm, spoken.decode_backend_server);
+}
+
+std::unique_ptr<kernel::duty> create_evacuation_feed(kernel::daemon_context& context)
+{
+    return make_feed<events::evacuation>(context,
+                                         interface_of(context).kinds.evacuations,
+                                         rare_rhythm,
+                                         [](object_store::object const& read)
+                                         {
+                                             return events::evacuation{read.name};
+                                         });
+}
+
+std::unique_ptr<kernel::duty> create_entry_host_feed(kernel::daemon_context& context)
+{
+    return make_feed<fleet::entry_host>(context,
+                                        interface_of(context).kinds.entry_hosts,
+                                        entry_host_rhythm,
+                                        [](object_store::object const& read)
+                                        {
+                                            return fleet::parse_entry_host(read.name, read.value);
+                                        });
+}
+
+using kernel::daemon_part;
+
+kernel::registration const configuration_feed_registration(
+    {"routes feed", first_start_order, create_configuration_feed, daemon_part::gateway});
+kernel::registration const server_feed_registration(
+    {"servers feed", first_start_order + 1, create_server_feed, daemon_part::gateway});
+kernel::registration const evacuation_feed_registration(
+    {"evacuation feed", first_start_order + 2, create_evacuation_feed, daemon_part::gateway});
+kernel::registration const entry_host_feed_registration(
+    {"hosts feed", first_start_order + 3, create_entry_host_feed, daemon_part::gateway});
+
+} // namespace
+
+} // namespace pistachiohub::discovery
--- /dev/null
+++ b/plugins/discovery/host_registration.cpp
@@ -0,0 +1,157 @@
+/// @file
+/// The duty that registers this entry host in the store, where other daemons find it.
+
+#include "kernel/log.hpp"
+#include "kernel/plugin.hpp"
+#include "libraries/fleet/entry_host_document.hpp"
+#include "libraries/interface/interface.hpp"
+#include "libraries/object_store/object_store.hpp"
+#include "plugins/discovery/report_interval.hpp"
+#include "plugins/store/wake_signal.hpp"
+
+#include <algorithm>
+
+namespace pistachiohub::discovery
+{
+
+namespace
+{
+
+using object_store::status;
+using std::chrono::milliseconds;
+
+constexpr auto call_timeout = milliseconds(1000);
+constexpr int start_order = 115;
+// Link bandwidth on which a full processor share of requests needs no more.
+constexpr double link_mbps_of_full_core = 100;
+
+http::client_limits make_limits()
+{
+    http::client_limits limits;
+    limits.connect_timeout = call_timeout;
+    limits.read_timeout = call_timeout;
+    return limits;
+}
+
+fleet::entry_host make_record(kernel::settings const& own, std::uint64_t incarnation)
+{
+    auto const& gateway = *own.gateway;
+    fleet::entry_host host;
+    host.name = own.name;
+    host.callers = gateway.callers;
+    host.failure_domain = own.failure_domain;
+    host.region = gateway.region;
+    host.incarnation = incarnation;
+    host.capacity =
+        std::min(gateway.resources.processor, gateway.resources.link_mbps / link_mbps_of_full_core);
+    return host;
+}
+
+class host_registration : public kernel::duty
+{
+public:
+    explicit host_registration(kernel::daemon_context& context)
+        : m_context(context)
+        , m_interface(interface::find_interface(context.own_settings().gateway->interface_name))
+        , m_client(context.own_settings().store, make_limits(), m_interface.store)
+        , m_record(make_record(context.own_settings(), context.incarnation()))
+    {
+        context.on_drain(
+            [this]()
+            {
+                m_signal.wake();
+            });
+    }
+
+    void run() override
+    {
+        auto next = kernel::monotonic_now();
+        while (!m_signal.is_stopping())
+        {
+            write();
+            next = std::max(next + report_interval, kernel::monotonic_now());
+            m_signal.wait_until(next);
+        }
+        remove();
+    }
+
+    void request_stop() override
+    {
+        m_signal.stop();
+    }
+
+private:
+    void write()
+    {
+        m_record.is_leaving = m_context.is_draining();
+        ++m_record.report;
+        auto result = write_once();
+        // The object of an earlier incarnation of this host, or of a write whose answer was lost.
+        if (result.end == status::conflict)
+        {
+            m_version = result.version;
+            result = write_once();
+        }
+        if (result.end == status::missing)
+            m_version = 0;
+        if (result.end == status::ok)
+            m_version = result.version;
+        log_change(result.end);
+    }
+
+    object_store::write_result write_once()
+    {
+        return m_client.write(
+            m_interface.kinds.entry_hosts, m_record.name, m_version, to_document(m_record));
+    }
+
+    // A host that ends leaves no object behind. After a failure the others notice its silence.
+    void remove()
+    {
+        if (m_version == 0)
+            return;
+        auto const result =
+            m_client.remove(m_interface.kinds.entry_hosts, m_record.name, m_version);
+        kernel::log_event(kernel::log_level::info,
+                          "discovery",
+                          "registration_removed",
+                          {{"result", to_string(result.end)}});
+    }
+
+    void log_change(status end)
+    {
+        m_context.own_metrics()
+            .find_counter("pistachiohub_discovery_registrations_total", {"result", to_string(end)})
+            .increment();
+        if (end == m_last_end)
+            return;
+        m_last_end = end;
+        kernel::log_event(end == status::ok ? kernel::log_level::info : kernel::log_level::warning,
+                          "discovery",
+                          "registration_written",
+                          {{"result", to_string(end)},
+                           {"version", m_version},
+                           {"report", m_record.report},
+                           {"is_leaving", static_cast<int>(m_record.is_leaving)}});
+    }
+
+    kernel::daemon_context& m_context;
+    interface::deployment_interface const& m_interface;
+    object_store::client m_client;
+    fleet::entry_host m_record;
+    store::wake_signal m_signal;
+    std::uint64_t m_version = 0;
+    status m_last_end = status::missing;
+};
+
+std::unique_ptr<kernel::duty> create(kernel::daemon_context& context)
+{
+    return std::make_unique<host_registration>(context);
+}
+
+kernel::registration const host_registration_registration(
+    {"registration", start_order, create, kernel::daemon_part::gateway});
+
+} // namespace
+
+} // namespace pistachiohub::discovery
--- /dev/null
+++ b/plugins/discovery/report_interval.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+/// @file
+/// How often entry hosts report to the store.
+
+#include <chrono>
+
+namespace pistachiohub::discovery
+{
+
+/// Interval between two reports of an entry host. Directories drop a host after about two and a
+/// half missed reports.
+inline constexpr std::chrono::milliseconds report_interval{1500};
+
+} // namespace pistachiohub::discovery
--- /dev/null
+++ b/plugins/gateway/affinity.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+/// @file
+/// Rendezvous hashing with bounded load: all daemons choose the same backend server for an object
+/// without talking, as long as it has room.
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace pistachiohub::gateway
+{
+
+/// A server that may be chosen.
+struct affinity_candidate
+{
+    /// Hash of the server's id.
+    std::uint64_t server_hash = 0;
+    /// Weight; servers get keys in proportion.
+    double weight = 1;
+    /// Whether it has room for one more request.
+    bool has_room = false;
+};
+
+/// @returns the hash of an id or key.
+[[nodiscard]] std::uint64_t hash_text(std::string_view text);
+
+/// @returns a number in `[0, 1)` that is even over the keys and independent of the scores.
+[[nodiscard]] double position_of_key(std::uint64_t key_hash);
+
+/// @returns the rank of a server for a key: higher is better. Weighted rendezvous hashing: when a
+/// server joins or leaves, only its own keys move.
+[[nodiscard]] double affinity_score(std::uint64_t key_hash, affinity_candidate const& candidate);
+
+/// @returns the position of the candidate with the highest score among those with room, or nothing
+/// when none has room.
+[[nodiscard]] std::optional<std::size_t>
+choose_by_affinity(std::uint64_t key_hash, std::span<affinity_candidate const> candidates);
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/caller_gate.cpp
@@ -0,0 +1,552 @@
+#include "plugins/gateway/caller_gate.hpp"
+
+#include "kernel/log.hpp"
+#include "libraries/http/server.hpp"
+#include "libraries/http/silence_limit.hpp"
+#include "plugins/gateway/affinity.hpp"
+#include "plugins/gateway/message_text.hpp"
+#include "plugins/gateway/refusal.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http_library = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::size_t read_size = 8192;
+constexpr int accept_backlog = 1024;
+// Requests that one caller may send before the first is answered; further ones wait in its socket.
+constexpr std::size_t most_pipelined = 64;
+// Time for a caller to take an answer, or to close after the last one.
+constexpr auto write_time = std::chrono::seconds(10);
+constexpr auto linger_time = std::chrono::seconds(1);
+// Time for the body of a request, after its header.
+constexpr auto body_time = std::chrono::seconds(30);
+constexpr auto sweep_interval = milliseconds(500);
+constexpr auto accept_pause = milliseconds(100);
+// Deadline of requests that state none, or one that cannot be read.
+constexpr auto default_deadline = std::chrono::seconds(60);
+// Time after which a caller that acknowledges nothing counts as gone.
+constexpr auto caller_silence = std::chrono::seconds(5);
+
+using parser = http_library::request_parser<http_library::string_body>;
+
+/// A request with its answer, once there is one.
+struct exchange
+{
+    request_pointer request;
+    std::optional<answer> made;
+    bool is_head = false;
+};
+
+milliseconds parse_deadline(std::string_view text)
+{
+    std::int64_t value = 0;
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    bool const is_valid = failure == std::errc{} && end == text.data() + text.size() && value > 0;
+    constexpr std::int64_t longest_ms = 3'600'000;
+    return is_valid ? milliseconds(std::min(value, longest_ms)) : milliseconds(default_deadline);
+}
+
+caller_request to_request(http_library::request<http_library::string_body>&& message)
+{
+    caller_request result;
+    result.method = std::string(message.method_string());
+    result.target = std::string(message.target());
+    for (auto const& field : message)
+        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    result.body = std::move(message.body());
+    return result;
+}
+
+refusal to_refusal(error_code failure)
+{
+    if (failure == http_library::error::header_limit)
+        return refusal::header_too_large;
+    if (failure == http_library::error::body_limit)
+        return refusal::body_too_large;
+    return refusal::malformed;
+}
+
+class session;
+
+} // namespace
+
+struct caller_gate::implementation : std::enable_shared_from_this<implementation>
+{
+    implementation(kernel::event_loop& own_loop,
+                   kernel::metrics& metrics,
+                   interface::message_headers const& header_names,
+                   std::size_t connection_limit,
+                   caller_gate_events callbacks)
+        : loop(own_loop)
+        , counters(metrics)
+        , names(header_names)
+        , most_connections(connection_limit)
+        , events(std::move(callbacks))
+        , acceptor(own_loop.context())
+    {
+    }
+
+    void listen(kernel::endpoint const& own);
+    void accept();
+    void sweep();
+    void count_closed(std::string_view cause) const;
+
+    kernel::event_loop& loop;
+    kernel::metrics& counters;
+    interface::message_headers names;
+    std::size_t most_connections;
+    caller_gate_events events;
+    tcp::acceptor acceptor;
+    routing::caller_limits limits;
+    std::unordered_set<session*> sessions;
+    /// Connections of the requests that wait for their answers.
+    std::unordered_map<std::uint64_t, std::shared_ptr<session>> waiting;
+    std::uint64_t last_number = 0;
+    bool is_draining = false;
+};
+
+namespace
+{
+
+/// One connection of a caller.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    using gate = caller_gate::implementation;
+
+    session(std::shared_ptr<gate> owner, tcp::socket&& socket)
+        : m_gate(std::move(owner))
+        , m_socket(std::move(socket))
+        , m_active_at(kernel::monotonic_now())
+    {
+        m_gate->sessions.insert(this);
+    }
+
+    ~session()
+    {
+        m_gate->sessions.erase(this);
+    }
+
+    session(session const&) = delete;
+    session& operator=(session const&) = delete;
+
+    void read()
+    {
+        // After the last request the input still tells when the caller leaves.
+        if (m_is_reading || !m_socket.is_open() || m_exchanges.size() >= most_pipelined)
+            return;
+        m_is_reading = true;
+        m_socket.async_read_some(m_buffer.prepare(read_size),
+                                 [self = shared_from_this()](error_code failure, std::size_t bytes)
+                                 {
+                                     self->m_is_reading = false;
+                                     self->on_read(failure, bytes);
+                                 });
+    }
+
+    void reply(request_pointer const& request, answer&& made)
+    {
+        for (auto& waiting : m_exchanges)
+        {
+            if (waiting.request == request)
+                waiting.made = std::move(made);
+        }
+        write();
+    }
+
+    [[nodiscard]] bool is_busy() const
+    {
+        return !m_exchanges.empty() || m_is_writing;
+    }
+
+    void drain()
+    {
+        if (!is_busy() && !m_is_last && !has_partial_request())
+            linger();
+    }
+
+    void close_if_overdue(kernel::monotonic_time now)
+    {
+        auto const idle = now - m_active_at;
+        if (m_is_lingering)
+            return idle > linger_time ? close("lingered") : void();
+        if (m_is_writing)
+            return idle > write_time ? abandon("slow_reader") : void();
+        if (!m_exchanges.empty())
+            return;
+        if (!has_partial_request())
+            return idle > m_gate->limits.idle_time ? linger() : void();
+        auto const limit = m_parser && m_parser->is_header_done()
+                               ? kernel::duration(body_time)
+                               : kernel::duration(m_gate->limits.header_time);
+        if (now - m_request_began_at > limit)
+            close("slow_request");
+    }
+
+private:
+    [[nodiscard]] bool has_partial_request() const
+    {
+        return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+    }
+
+    void on_read(error_code failure, std::size_t bytes)
+    {
+        if (m_is_lingering)
+            return failure ? close("closed") : discard();
+        if (failure)
+            return abandon("caller_closed");
+        if (!m_is_last)
+            accept_input(bytes);
+        read();
+    }
+
+    void accept_input(std::size_t bytes)
+    {
+        m_active_at = kernel::monotonic_now();
+        if (!has_partial_request())
+            m_request_began_at = m_active_at;
+        m_buffer.commit(bytes);
+        parse();
+    }
+
+    void parse()
+    {
+        while (m_buffer.size() > 0 && !m_is_last && m_exchanges.size() < most_pipelined)
+        {
+            if (!m_parser)
+                start_parser();
+            error_code failure;
+            auto const used = m_parser->put(m_buffer.data(), failure);
+            m_buffer.consume(used);
+            if (failure == http_library::error::need_more)
+                return offer_to_continue();
+            if (failure)
+                return refuse(to_refusal(failure));
+            if (m_parser->is_done())
+                take_request();
+            else if (used == 0)
+                return;
+        }
+        offer_to_continue();
+    }
+
+    void start_parser()
+    {
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->header_limit(m_gate->limits.header_bytes);
+        m_parser->body_limit(m_gate->limits.body_bytes);
+        m_has_continued = false;
+    }
+
+    // A caller may wait for this before it sends the body.
+    void offer_to_continue()
+    {
+        if (!m_parser || !m_parser->is_header_done() || m_has_continued || is_busy())
+            return;
+        if (!beast::iequals(m_parser->get()[http_library::field::expect], "100-continue"))
+            return;
+        m_has_continued = true;
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    void take_request()
+    {
+        m_is_last = !m_parser->get().keep_alive();
+        auto request = std::make_shared<gateway_request>();
+        request->number = ++m_gate->last_number;
+        request->message = to_request(m_parser->release());
+        m_parser.reset();
+        auto const& headers = request->message.headers;
+        auto const& names = m_gate->names;
+        request->id = find_value(headers, names.request_id);
+        auto const key = find_cookie(find_value(headers, "Cookie"), names.affinity_cookie);
+        if (!key.empty())
+            request->affinity_key = hash_text(key);
+        request->arrived_at = m_request_began_at;
+        request->caller_leaves_at =
+            m_request_began_at + parse_deadline(find_value(headers, names.remaining_ms));
+        m_request_began_at = m_active_at;
+        m_exchanges.push_back({request, std::nullopt, request->message.method == "HEAD"});
+        m_gate->waiting.emplace(request->number, shared_from_this());
+        m_gate->events.begin(request);
+    }
+
+    void refuse(refusal cause)
+    {
+        m_gate->counters
+            .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(cause)})
+            .increment();
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "request_unreadable",
+                          {{"reason", to_string(cause)}});
+        m_is_last = true;
+        m_exchanges.push_back({nullptr, make_refusal(cause, std::nullopt), false});
+        write();
+    }
+
+    void write()
+    {
+        if (m_is_writing)
+            return;
+        std::string text;
+        while (!m_exchanges.empty() && m_exchanges.front().made)
+        {
+            auto const& front = m_exchanges.front();
+            bool const is_only = m_exchanges.size() == 1;
+            if (m_gate->is_draining && is_only && !has_partial_request())
+                m_is_last = true;
+            text += make_answer_text(*front.made, front.is_head, m_is_last && is_only);
+            if (front.request)
+                m_gate->waiting.erase(front.request->number);
+            m_exchanges.pop_front();
+        }
+        if (!text.empty())
+            send(std::move(text));
+    }
+
+    void send(std::string text)
+    {
+        m_output = std::move(text);
+        m_is_writing = true;
+        m_active_at = kernel::monotonic_now();
+        asio::async_write(m_socket,
+                          asio::buffer(m_output),
+                          [self = shared_from_this()](error_code failure, std::size_t)
+                          {
+                              self->m_is_writing = false;
+                              self->on_written(failure);
+                          });
+    }
+
+    void on_written(error_code failure)
+    {
+        if (failure)
+            return abandon("write_failed");
+        m_active_at = kernel::monotonic_now();
+        write();
+        if (m_is_writing)
+            return;
+        if (m_is_last && m_exchanges.empty())
+            return linger();
+        // Requests that arrived while too many were open wait in the buffer.
+        parse();
+        read();
+    }
+
+    // Closing a socket with unread input resets the connection, which can destroy the last answer.
+    void linger()
+    {
+        m_is_last = true;
+        m_is_lingering = true;
+        m_active_at = kernel::monotonic_now();
+        error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        discard();
+    }
+
+    void discard()
+    {
+        m_buffer.clear();
+        if (m_is_reading)
+            return;
+        m_is_reading = true;
+        m_socket.async_read_some(m_buffer.prepare(read_size),
+                                 [self = shared_from_this()](error_code failure, std::size_t)
+                                 {
+                                     self->m_is_reading = false;
+                                     if (failure)
+                                         self->close("closed");
+                                     else
+                                         self->discard();
+                                 });
+    }
+
+    void abandon(std::string_view cause)
+    {
+        close(cause);
+        auto const exchanges = std::exchange(m_exchanges, {});
+        for (auto const& open : exchanges)
+        {
+            if (!open.request)
+                continue;
+            m_gate->waiting.erase(open.request->number);
+            if (!open.made)
+                m_gate->events.gone(open.request);
+        }
+    }
+
+    void close(std::string_view cause)
+    {
+        if (!m_socket.is_open())
+            return;
+        m_is_last = true;
+        m_gate->count_closed(cause);
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    std::shared_ptr<gate> m_gate;
+    tcp::socket m_socket;
+    beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    std::deque<exchange> m_exchanges;
+    std::string m_output;
+    kernel::monotonic_time m_active_at;
+    kernel::monotonic_time m_request_began_at;
+    bool m_is_reading = false;
+    bool m_is_writing = false;
+    bool m_has_continued = false;
+    /// No further request is read.
+    bool m_is_last = false;
+    bool m_is_lingering = false;
+};
+
+} // namespace
+
+void caller_gate::implementation::listen(kernel::endpoint const& own)
+{
+    try
+    {
+        tcp::endpoint const endpoint(asio::ip::make_address(own.address), own.port);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(accept_backlog);
+    }
+    catch (boost::system::system_error const& failure)
+    {
+        throw http::listen_error("cannot listen on " + to_string(own) + ": " + failure.what());
+    }
+}
+
+void caller_gate::implementation::accept()
+{
+    acceptor.async_accept(
+        [self = shared_from_this()](error_code failure, tcp::socket socket)
+        {
+            if (failure == asio::error::operation_aborted)
+                return;
+            if (failure || self->sessions.size() >= self->most_connections)
+            {
+                self->count_closed(failure ? "accept_failed" : "too_many_connections");
+                error_code ignored;
+                socket.close(ignored);
+                self->loop.after(accept_pause,
+                                 [self]()
+                                 {
+                                     if (self->acceptor.is_open())
+                                         self->accept();
+                                 });
+                return;
+            }
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            http::set_silence_limit(socket.native_handle(), caller_silence);
+            std::make_shared<session>(self, std::move(socket))->read();
+            self->accept();
+        });
+}
+
+void caller_gate::implementation::sweep()
+{
+    auto const now = kernel::monotonic_now();
+    // Closing a session may destroy it and change the set.
+    std::vector<std::shared_ptr<session>> open;
+    open.reserve(sessions.size());
+    for (auto* const one : sessions)
+        open.push_back(one->shared_from_this());
+    for (auto const& one : open)
+        one->close_if_overdue(now);
+}
+
+void caller_gate::implementation::count_closed(std::string_view cause) const
+{
+    counters.find_counter("pistachiohub_gateway_connections_closed_total", {"reason", cause})
+        .increment();
+}
+
+caller_gate::caller_gate(kernel::event_loop& loop,
+                         kernel::metrics& counters,
+                         kernel::endpoint const& own,
+                         interface::message_headers const& names,
+                         std::size_t most_connections,
+                         caller_gate_events events)
+    : m_implementation(std::make_shared<implementation>(
+          loop, counters, names, most_connections, std::move(events)))
+{
+    m_implementation->listen(own);
+    m_implementation->accept();
+    loop.every(sweep_interval,
+               [weak = std::weak_ptr(m_implementation)]()
+               {
+                   if (auto const self = weak.lock())
+                       self->sweep();
+               });
+}
+
+caller_gate::~caller_gate()
+{
+    stop_accepting();
+}
+
+void caller_gate::set_limits(routing::caller_limits const& limits)
+{
+    m_implementation->limits = limits;
+}
+
+void caller_gate::reply(request_pointer const& request, answer&& made)
+{
+    auto const found = m_implementation->waiting.find(request->number);
+    if (found == m_implementation->waiting.end())
+        return;
+    // Replying removes the entry.
+    auto const waiting = found->second;
+    waiting->reply(request, std::move(made));
+}
+
+void caller_gate::drain()
+{
+    m_implementation->is_draining = true;
+    std::vector<std::shared_ptr<session>> open;
+    for (auto* const one : m_implementation->sessions)
+        open.push_back(one->shared_from_this());
+    for (auto const& one : open)
+        one->drain();
+}
+
+void caller_gate::stop_accepting()
+{
+    error_code ignored;
+    m_implementation->acceptor.close(ignored);
+}
+
+std::size_t caller_gate::busy_connections() const
+{
+    std::size_t busy = 0;
+    for (auto const* const one : m_implementation->sessions)
+        busy += one->is_busy() ? 1 : 0;
+    return busy;
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/dispatcher.cpp
@@ -0,0 +1,587 @@
+#include "plugins/gateway/dispatcher.hpp"
+
+#include "plugins/gateway/affinity.hpp"
+#include "plugins/gateway/cold_allowance.hpp"
+#include "plugins/gateway/server_choice.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using seconds_value = std::chrono::duration<double>;
+
+// Interval at which the load is smoothed and parts of the objects move.
+constexpr auto adapt_interval = milliseconds(250);
+// Interval at which waiting requests look for slots that others have left.
+constexpr auto waiting_interval = milliseconds(20);
+// Weight of the newest value of a smoothed figure.
+constexpr double smoothing = 0.2;
+// Requests that wait for one service at most; bounds the memory and the time of one pass.
+constexpr std::size_t most_waiting = 512;
+// Waiting requests without room that one pass looks at.
+constexpr std::size_t most_looked_at = 16;
+// Part of the target latency for which a request waits for a server that knows its object, before
+// it takes another failure domain or region.
+constexpr double patience_for_domain = 0.15;
+constexpr double patience_for_region = 0.3;
+// Permissions for sends to another region: earned by each request, and the most that are saved.
+constexpr double far_sends_per_request = 0.04;
+constexpr double most_far_sends = 4;
+// Time before the end of a request in which no backend server can do anything useful.
+constexpr auto shortest_run = milliseconds(20);
+constexpr auto shortest_retry_after = milliseconds(100);
+constexpr auto longest_retry_after = milliseconds(2000);
+// Lines a second for requests that were served and for those that were not.
+constexpr double request_lines_per_second = 100;
+
+void smooth(std::optional<double>& figure, std::optional<double> const& newest)
+{
+    if (!newest || !figure)
+        figure = newest;
+    else
+        *figure += smoothing * (*newest - *figure);
+}
+
+/// Sums of load and slots at one distance.
+struct use_sum
+{
+    double load = 0;
+    double slots = 0;
+
+    [[nodiscard]] std::optional<double> share() const
+    {
+        return slots > 0 ? std::optional(load / slots) : std::nullopt;
+    }
+};
+
+bool comes_before(request_pointer const& left, request_pointer const& right)
+{
+    if (left->route->priority != right->route->priority)
+        return left->route->priority < right->route->priority;
+    return left->arrived_at < right->arrived_at;
+}
+
+std::int64_t ms_between(kernel::monotonic_time from, kernel::monotonic_time to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+bool is_server_failure(unsigned status)
+{
+    constexpr unsigned first_server_error = 500;
+    return status >= first_server_error;
+}
+
+} // namespace
+
+std::string_view to_string(attempt_result value)
+{
+    // In the order of the enumeration.
+    constexpr std::array<std::string_view, 4> names{
+        "answered", "not_started", "never_sent", "broken"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+dispatcher::dispatcher(kernel::settings const& own,
+                       dispatcher_actions actions,
+                       kernel::metrics& metrics)
+    : m_own_name(own.name)
+    , m_bounds(own.gateway->bounds)
+    , m_actions(std::move(actions))
+    , m_metrics(metrics)
+    , m_request_log(request_lines_per_second)
+{
+    m_servers.own_domain = own.failure_domain;
+    m_servers.own_region = own.gateway->region;
+    m_servers.region_of_domain = own.gateway->region_of_domain;
+    m_hosts.own.name = own.name;
+    m_hosts.own.callers = own.gateway->callers;
+    m_hosts.own.failure_domain = own.failure_domain;
+    m_hosts.own.region = own.gateway->region;
+    m_live_hosts = {own.name};
+}
+
+void dispatcher::set_bounds(kernel::gateway_bounds const& bounds)
+{
+    m_bounds = bounds;
+}
+
+void dispatcher::apply(events::store_update<routing::routing_document> const& update)
+{
+    for (auto const& read : update.changes)
+    {
+        bool const is_newer =
+            read.record && (!m_table || read.record->version > m_table->document.version);
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          is_newer ? "configuration_applied" : "configuration_ignored",
+                          {{"version", read.record ? read.record->version : 0},
+                           {"in_force", m_table ? m_table->document.version : 0},
+                           {"object_version", read.version}});
+        if (!is_newer)
+            continue;
+        m_table = routing::make_routing_table(*read.record);
+        m_rotations.clear();
+    }
+}
+
+void dispatcher::log_lost(std::vector<std::string> const& ids, std::string_view cause)
+{
+    for (auto const& id : ids)
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "server_lost",
+                          {{"server", std::string_view(id)}, {"cause", cause}});
+}
+
+void dispatcher::apply(events::store_update<fleet::backend_server> const& update,
+                       kernel::monotonic_time now)
+{
+    auto const change = gateway::apply(m_servers, update, now);
+    for (auto const& id : change.added)
+    {
+        auto const& server = *m_servers.servers.at(id);
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "server_added",
+                          {{"server", std::string_view(id)},
+                           {"service", std::string_view(server.record.service)},
+                           {"failure_domain", std::string_view(server.record.failure_domain)},
+                           {"version", server.version},
+                           {"cold_ms", server.record.cold_remaining.count()}});
+    }
+    log_lost(change.lost, "store");
+    tick(now);
+}
+
+void dispatcher::apply(events::store_update<events::evacuation> const& update,
+                       kernel::monotonic_time now)
+{
+    gateway::apply(m_servers, update);
+    for (auto const& read : update.changes)
+        kernel::log_event(
+            kernel::log_level::info,
+            "gateway",
+            read.record ? "evacuation_begun" : "evacuation_ended",
+            {{"failure_domain", std::string_view(read.name)}, {"version", read.version}});
+    tick(now);
+}
+
+void dispatcher::apply(events::store_update<fleet::entry_host> const& update,
+                       kernel::monotonic_time now)
+{
+    gateway::apply(m_hosts, update, now);
+}
+
+void dispatcher::apply_server_contact(bool is_reachable, kernel::monotonic_time now)
+{
+    gateway::apply_contact(m_servers, is_reachable, now);
+}
+
+void dispatcher::apply_host_contact(bool is_reachable, kernel::monotonic_time now)
+{
+    gateway::apply_contact(m_hosts, is_reachable, now);
+}
+
+service_state& dispatcher::state_of(std::string const& service)
+{
+    return m_services[service];
+}
+
+void dispatcher::begin(request_pointer const& request, kernel::monotonic_time now)
+{
+    ++m_open;
+    request->table = m_table;
+    request->answer_by = request->caller_leaves_at;
+    if (!m_table)
+        return refuse(request, refusal::no_configuration, now);
+    request->route = routing::find_route(
+        *m_table, find_value(request->message.headers, "Host"), request->message.target);
+    if (request->route == nullptr)
+        return refuse(request, refusal::no_route, now);
+    auto const& route = *request->route;
+    request->answer_by = std::min(request->caller_leaves_at, request->arrived_at + route.timeout);
+    if (!route.has_affinity)
+        request->affinity_key.reset();
+    auto const part = route.split.size() == 1 ? 0 : next_part(m_rotations[route.name], route.split);
+    request->service = route.split[part].service;
+    m_due.emplace(request->answer_by, request);
+    auto& state = state_of(request->service);
+    record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
+    state.far_sends = std::min(state.far_sends + far_sends_per_request, most_far_sends);
+    dispatch(request, now);
+}
+
+void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
+{
+    // Requests that wait have the next slot, unless this one has a higher priority.
+    if (!try_send(request, now) && request->state != request_state::ended)
+        wait(request, now);
+}
+
+bool dispatcher::may_send_cold(known_server& server, kernel::monotonic_time now)
+{
+    auto const* const service = routing::find_service(*m_table, server.record.service);
+    if (service == nullptr)
+        return false;
+    auto const most =
+        service->cold_requests_per_second * m_bounds.cold_factor + m_bounds.cold_slack;
+    auto const position = cold_position(server.record.id, m_own_name, m_live_hosts);
+    return try_send_cold(server, cold_share(most, position, m_live_hosts.size()), now);
+}
+
+bool dispatcher::try_send(request_pointer const& request, kernel::monotonic_time now)
+{
+    auto& state = state_of(request->service);
+    auto const waited = seconds_value(now - request->arrived_at);
+    auto const target = seconds_value(request->route->target_latency);
+    choice_input input;
+    input.position =
+        request->affinity_key ? position_of_key(*request->affinity_key) : m_actions.random();
+    input.spill = &state.spill;
+    input.may_leave_domain = request->sends > 0 || waited > patience_for_domain * target;
+    input.may_leave_region =
+        state.far_sends >= 1 && (request->sends > 0 || waited > patience_for_region * target);
+    input.now = now;
+    auto chosen = choose_server(m_servers,
+                                *request,
+                                input,
+                                [this, now](known_server& server)
+                                {
+                                    return may_send_cold(server, now);
+                                });
+    if (chosen.failure == choice_failure::no_server)
+    {
+        refuse(request, request->sends > 0 ? refusal::not_started : refusal::no_server, now);
+        return false;
+    }
+    if (!chosen.server)
+        return false;
+    bool const is_far = chosen.server->how_far == distance::other_region;
+    if (is_far && input.position < state.spill.region_part)
+        state.far_sends = std::max(0.0, state.far_sends - 1);
+    request->server = std::move(chosen.server);
+    send(request, now);
+    return true;
+}
+
+void dispatcher::send(request_pointer const& request, kernel::monotonic_time now)
+{
+    request->state = request_state::running;
+    request->sent_at = now;
+    ++request->sends;
+    request->tried.push_back(request->server->record.id);
+    ++request->server->own_running;
+    ++state_of(request->service).running;
+    auto const remaining = std::max<std::int64_t>(ms_between(now, request->answer_by), 1);
+    m_actions.send(request, milliseconds(remaining));
+}
+
+void dispatcher::wait(request_pointer const& request, kernel::monotonic_time now)
+{
+    auto& state = state_of(request->service);
+    auto const position =
+        std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before);
+    auto const ahead = static_cast<std::size_t>(std::distance(state.waiting.begin(), position));
+    auto const begins_at = now + std::chrono::duration_cast<kernel::duration>(
+                                     seconds_value(expected_wait_seconds(state, ahead)));
+    bool const is_hopeless =
+        state.waiting.size() >= most_waiting || begins_at + shortest_run >= request->answer_by;
+    if (is_hopeless)
+        return refuse(request, refusal::no_room, now);
+    request->state = request_state::waiting;
+    state.waiting.insert(position, request);
+}
+
+double dispatcher::expected_wait_seconds(service_state const& state, std::size_t ahead) const
+{
+    if (ahead == 0 || state.running == 0)
+        return 0;
+    return static_cast<double>(ahead) * state.run_seconds / static_cast<double>(state.running);
+}
+
+void dispatcher::send_waiting(std::string const& service, kernel::monotonic_time now)
+{
+    auto& state = state_of(service);
+    std::size_t looked_at = 0;
+    for (auto next = state.waiting.begin();
+         next != state.waiting.end() && looked_at < most_looked_at;)
+    {
+        auto const request = *next;
+        // Sending or refusing it does not touch the list, so the position stays valid.
+        bool const is_done = try_send(request, now) || request->state == request_state::ended;
+        next = is_done ? state.waiting.erase(next) : std::next(next);
+        looked_at += is_done ? 0 : 1;
+    }
+}
+
+void dispatcher::leave_server(request_pointer const& request)
+{
+    assert(request->server && request->server->own_running > 0);
+    --request->server->own_running;
+    --state_of(request->service).running;
+}
+
+void dispatcher::attempt_ended(request_pointer const& request,
+                               attempt_end&& end,
+                               kernel::monotonic_time now)
+{
+    if (request->state != request_state::running)
+        return;
+    leave_server(request);
+    auto& server = *request->server;
+    if (end.reported_load)
+        record_load(server, *end.reported_load, now);
+    auto& state = state_of(request->service);
+    if (end.result == attempt_result::answered)
+    {
+        record_success(server);
+        auto const ran = seconds_value(now - request->sent_at).count();
+        state.run_seconds += (state.run_seconds == 0 ? 1 : smoothing) * (ran - state.run_seconds);
+    }
+    else
+        record_failure(server, now);
+    auto const service = request->service;
+    bool const is_repeatable_failure = end.result == attempt_result::answered &&
+                                       is_server_failure(end.received.status) &&
+                                       request->route->kind == routing::request_kind::idempotent;
+    if (end.result != attempt_result::answered || is_repeatable_failure)
+        retry_or_fail(request, std::move(end), now);
+    else
+        finish(request, std::move(end.received), "served", now);
+    send_waiting(service, now);
+}
+
+bool dispatcher::may_retry(request_pointer const& request,
+                           attempt_result result,
+                           kernel::monotonic_time now)
+{
+    bool const is_proven =
+        result == attempt_result::not_started || result == attempt_result::never_sent;
+    if (!is_proven && request->route->kind == routing::request_kind::at_most_once)
+        return false;
+    if (request->sends >= request->route->most_attempts && result != attempt_result::never_sent)
+        return false;
+    if (now + shortest_run >= request->answer_by)
+        return false;
+    // A request that never reached a backend server is no further send there.
+    if (result == attempt_result::never_sent)
+        return true;
+    return try_repeat(state_of(request->service).retries,
+                      {m_bounds.retry_ratio, m_bounds.extra_retries, m_bounds.retry_window},
+                      m_live_hosts.size(),
+                      now);
+}
+
+void dispatcher::retry_or_fail(request_pointer const& request,
+                               attempt_end&& end,
+                               kernel::monotonic_time now)
+{
+    bool const has_started =
+        end.result == attempt_result::answered || end.result == attempt_result::broken;
+    request->may_have_run = request->may_have_run || has_started;
+    if (end.result == attempt_result::never_sent)
+        --request->sends;
+    bool const is_retried = may_retry(request, end.result, now);
+    m_metrics
+        .find_counter(is_retried ? "pistachiohub_gateway_retries_total"
+                                 : "pistachiohub_gateway_failed_sends_total",
+                      {"reason", to_string(end.result)})
+        .increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          is_retried ? "request_retried" : "send_failed",
+                          {{"id", std::string_view(request->id)},
+                           {"server", std::string_view(request->server->record.id)},
+                           {"result", to_string(end.result)},
+                           {"detail", end.detail},
+                           {"status", end.received.status},
+                           {"sends", request->sends},
+                           {"server_version", request->server->version},
+                           {"sent_ms_ago", ms_between(request->sent_at, now)}});
+    if (is_retried)
+    {
+        request->state = request_state::waiting;
+        return dispatch(request, now);
+    }
+    if (end.result == attempt_result::answered)
+        return finish(request, std::move(end.received), "server_failure", now);
+    refuse(request, request->may_have_run ? refusal::broken_off : refusal::not_started, now);
+}
+
+void dispatcher::caller_gone(request_pointer const& request, kernel::monotonic_time now)
+{
+    if (request->state == request_state::ended)
+        return;
+    auto const service = request->service;
+    bool const was_running = request->state == request_state::running;
+    if (was_running)
+    {
+        m_actions.cancel(request);
+        leave_server(request);
+    }
+    else
+        state_of(service).waiting.remove(request);
+    request->state = request_state::ended;
+    --m_open;
+    m_metrics.find_counter("pistachiohub_gateway_callers_gone_total").increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "caller_gone",
+                          {{"id", std::string_view(request->id)},
+                           {"was_running", static_cast<int>(was_running)},
+                           {"after_ms", ms_between(request->arrived_at, now)}});
+    if (was_running)
+        send_waiting(service, now);
+}
+
+void dispatcher::refuse(request_pointer const& request, refusal cause, kernel::monotonic_time now)
+{
+    // Status 503 promises that the request did not run, also in an earlier send.
+    auto const honest = request->may_have_run ? refusal::broken_off : cause;
+    auto made = make_refusal(honest, std::nullopt);
+    constexpr unsigned not_run = 503;
+    if (made.status == not_run)
+        made = make_refusal(honest, retry_after(state_of(request->service)));
+    m_metrics.find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(honest)})
+        .increment();
+    finish(request, std::move(made), to_string(cause), now);
+}
+
+milliseconds dispatcher::retry_after(service_state const& state)
+{
+    auto const wait = expected_wait_seconds(state, state.waiting.size() + 1);
+    // Callers that were refused together come back spread over the time in which slots come free.
+    auto const spread = wait * (0.5 + m_actions.random());
+    return std::clamp(std::chrono::duration_cast<milliseconds>(seconds_value(spread)),
+                      shortest_retry_after,
+                      longest_retry_after);
+}
+
+void dispatcher::finish(request_pointer const& request,
+                        answer&& made,
+                        std::string_view outcome,
+                        kernel::monotonic_time now)
+{
+    assert(request->state != request_state::ended);
+    request->state = request_state::ended;
+    --m_open;
+    m_metrics.find_counter("pistachiohub_gateway_requests_total", {"outcome", outcome}).increment();
+    m_metrics.find_latency("pistachiohub_gateway_request_seconds", {"outcome", outcome})
+        .observe(seconds_value(now - request->arrived_at).count());
+    if (m_request_log.admit(now))
+    {
+        auto const* const server = request->server.get();
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "request_ended",
+                          {{"id", std::string_view(request->id)},
+                           {"outcome", outcome},
+                           {"status", made.status},
+                           {"route", request->route ? std::string_view(request->route->name) : "-"},
+                           {"service", std::string_view(request->service)},
+                           {"server", server ? std::string_view(server->record.id) : "-"},
+                           {"server_version", server ? server->version : 0},
+                           {"load", server ? estimated_load(*server, now) : 0},
+                           {"load_age_ms", server ? ms_between(server->report.at, now) : 0},
+                           {"sends", request->sends},
+                           {"configuration", request->table ? request->table->document.version : 0},
+                           {"total_ms", ms_between(request->arrived_at, now)},
+                           {"run_ms", request->sends > 0 ? ms_between(request->sent_at, now) : 0},
+                           {"suppressed", m_request_log.take_suppressed()}});
+    }
+    m_actions.reply(request, std::move(made));
+}
+
+void dispatcher::end_overdue(kernel::monotonic_time now)
+{
+    while (!m_due.empty() && m_due.begin()->first <= now)
+    {
+        auto const request = m_due.begin()->second.lock();
+        m_due.erase(m_due.begin());
+        if (!request || request->state == request_state::ended)
+            continue;
+        if (request->state == request_state::waiting)
+        {
+            state_of(request->service).waiting.remove(request);
+            refuse(request, refusal::waited_too_long, now);
+            continue;
+        }
+        request->may_have_run = true;
+        m_actions.cancel(request);
+        leave_server(request);
+        auto made = make_refusal(refusal::timed_out, std::nullopt);
+        m_metrics
+            .find_counter("pistachiohub_gateway_refusals_total",
+                          {"reason", to_string(refusal::timed_out)})
+            .increment();
+        finish(request, std::move(made), to_string(refusal::timed_out), now);
+    }
+}
+
+void dispatcher::update_utilisation(std::string const& service,
+                                    service_state& state,
+                                    kernel::monotonic_time now)
+{
+    std::array<use_sum, 3> sums;
+    for (auto const& server : servers_of(m_servers, service))
+    {
+        if (!is_usable(m_servers, *server))
+            continue;
+        auto const load = estimated_load(*server, now);
+        for (auto nearest = static_cast<std::size_t>(server->how_far); nearest < sums.size();
+             ++nearest)
+        {
+            sums[nearest].load += load;
+            sums[nearest].slots += server->record.slots;
+        }
+    }
+    // What waits here has no slot and belongs to the load of the nearest servers.
+    for (auto& sum : sums)
+        sum.load += static_cast<double>(state.waiting.size());
+    smooth(state.used.own_domain, sums[0].slots > 0 ? sums[0].share() : std::optional<double>());
+    smooth(state.used.own_region, sums[1].share());
+    smooth(state.used.everywhere, sums[2].share());
+    update_spill(state.spill, state.used, m_bounds.shift, now);
+}
+
+kernel::monotonic_time dispatcher::next_tick(kernel::monotonic_time now) const
+{
+    auto next = m_adapted_at + adapt_interval;
+    if (!m_due.empty())
+        next = std::min(next, m_due.begin()->first);
+    for (auto const& [service, state] : m_services)
+    {
+        if (!state.waiting.empty())
+            next = std::min<kernel::monotonic_time>(next, now + waiting_interval);
+    }
+    return next;
+}
+
+void dispatcher::tick(kernel::monotonic_time now)
+{
+    end_overdue(now);
+    log_lost(expire_missing(m_servers, now), "missing_after_outage");
+    for (auto& [service, state] : m_services)
+    {
+        if (!state.waiting.empty())
+            send_waiting(service, now);
+    }
+    if (now - m_adapted_at < adapt_interval)
+        return;
+    m_adapted_at = now;
+    m_live_hosts = live_hosts(m_hosts, now);
+    for (auto& [service, state] : m_services)
+        update_utilisation(service, state, now);
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/entry_hosts.cpp
@@ -0,0 +1,126 @@
+#include "plugins/gateway/entry_hosts.hpp"
+
+#include <algorithm>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+template<class Matches>
+std::vector<kernel::endpoint>
+select(host_table const& table, kernel::monotonic_time now, Matches&& matches)
+{
+    std::vector<kernel::endpoint> selected;
+    if (!table.own.is_leaving && matches(table.own))
+        selected.push_back(table.own.callers);
+    for (auto const& [name, host] : table.hosts)
+    {
+        if (is_live(table, host, now) && matches(host.record))
+            selected.push_back(host.record.callers);
+    }
+    return selected;
+}
+
+bool is_new_report(known_host const& known, fleet::entry_host const& read)
+{
+    return known.record.incarnation != read.incarnation || known.record.report != read.report;
+}
+
+} // namespace
+
+void apply(host_table& table,
+           events::store_update<fleet::entry_host> const& update,
+           kernel::monotonic_time now)
+{
+    if (update.is_complete)
+    {
+        std::erase_if(table.hosts,
+                      [&update](auto const& entry)
+                      {
+                          return std::none_of(update.changes.begin(),
+                                              update.changes.end(),
+                                              [&entry](auto const& read)
+                                              {
+                                                  return read.record && read.name == entry.first;
+                                              });
+                      });
+    }
+    for (auto const& read : update.changes)
+    {
+        if (read.name == table.own.name)
+            continue;
+        if (!read.record)
+        {
+            table.hosts.erase(read.name);
+            continue;
+        }
+        auto& host = table.hosts[read.name];
+        if (is_new_report(host, *read.record))
+        {
+            // A list shows what lies in the store; only a change shows that somebody wrote now.
+            host.is_confirmed = !update.is_complete || host.record.report > 0;
+            host.reported_at = now;
+        }
+        host.record = *read.record;
+    }
+}
+
+void apply_contact(host_table& table, bool is_reachable, kernel::monotonic_time now)
+{
+    if (is_reachable && !table.is_store_reachable)
+        table.reachable_since = now;
+    table.is_store_reachable = is_reachable;
+}
+
+bool is_live(host_table const& table, known_host const& host, kernel::monotonic_time now)
+{
+    if (host.record.is_leaving || !host.is_confirmed)
+        return false;
+    auto const silent_since = std::max(host.reported_at, table.reachable_since);
+    return !table.is_store_reachable || now - silent_since < host_silence;
+}
+
+std::vector<std::string> live_hosts(host_table const& table, kernel::monotonic_time now)
+{
+    std::vector<std::string> names{table.own.name};
+    for (auto const& [name, host] : table.hosts)
+    {
+        if (is_live(table, host, now))
+            names.push_back(name);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
+                                                 std::string_view region,
+                                                 std::string_view failure_domain,
+                                                 kernel::monotonic_time now)
+{
+    auto selected = select(table,
+                           now,
+                           [failure_domain](fleet::entry_host const& host)
+                           {
+                               return host.failure_domain == failure_domain;
+                           });
+    if (selected.empty())
+        selected = select(table,
+                          now,
+                          [region](fleet::entry_host const& host)
+                          {
+                              return host.region == region;
+                          });
+    if (selected.empty())
+        selected = select(table,
+                          now,
+                          [](fleet::entry_host const&)
+                          {
+                              return true;
+                          });
+    selected.resize(std::min(selected.size(), most_listed_hosts));
+    return selected;
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/entry_hosts.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+/// @file
+/// The entry hosts of the fleet, and which of them a caller is told.
+
+#include "kernel/clock.hpp"
+#include "libraries/events/gateway_event.hpp"
+#include "libraries/routing/routing_table.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pistachiohub::gateway
+{
+
+/// An entry host with the time at which its last report was seen.
+struct known_host
+{
+    fleet::entry_host record;
+    kernel::monotonic_time reported_at;
+    /// Whether a report was seen to follow another. An object alone may have been left by a host
+    /// that is gone.
+    bool is_confirmed = false;
+};
+
+/// All entry hosts that registered themselves.
+struct host_table
+{
+    /// The host of this daemon, which needs no report to be live.
+    fleet::entry_host own;
+    /// The other hosts.
+    routing::text_map<known_host> hosts;
+    /// Whether the store answers this daemon. While it does not, silence proves nothing.
+    bool is_store_reachable = true;
+    /// When the store answered again.
+    kernel::monotonic_time reachable_since;
+};
+
+/// Silence after which a host counts as gone, while the store answers.
+inline constexpr auto host_silence = std::chrono::milliseconds(3600);
+
+/// Entry hosts in one answer at most.
+inline constexpr std::size_t most_listed_hosts = 64;
+
+/// Applies what was read from the store.
+void apply(host_table& table,
+           events::store_update<fleet::entry_host> const& update,
+           kernel::monotonic_time now);
+
+/// Notes that the store was lost or regained. After its return each host has time for a report.
+void apply_contact(host_table& table, bool is_reachable, kernel::monotonic_time now);
+
+/// @returns whether the host is taken as running and not leaving.
+[[nodiscard]] bool
+is_live(host_table const& table, known_host const& host, kernel::monotonic_time now);
+
+/// @returns names of the live hosts and of this one, in order.
+[[nodiscard]] std::vector<std::string> live_hosts(host_table const& table,
+                                                  kernel::monotonic_time now);
+
+/// Chooses entry hosts for a caller: those of its failure domain, else of its region, else all.
+[[nodiscard]] std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
+                                                               std::string_view region,
+                                                               std::string_view failure_domain,
+                                                               kernel::monotonic_time now);
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/gateway_duty.cpp
@@ -0,0 +1,377 @@
+/// @file
+/// The duty "gateway": callers, backend servers, directory and readiness on one thread.
+
+#include "kernel/event_loop.hpp"
+#include "kernel/log.hpp"
+#include "kernel/mailbox.hpp"
+#include "kernel/plugin.hpp"
+#include "kernel/snapshot.hpp"
+#include "libraries/events/gateway_event.hpp"
+#include "libraries/http/server.hpp"
+#include "libraries/interface/interface.hpp"
+#include "plugins/gateway/caller_gate.hpp"
+#include "plugins/gateway/dispatcher.hpp"
+#include "plugins/gateway/server_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <random>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int start_order = 120;
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_bad_request = 400;
+constexpr unsigned http_not_found = 404;
+constexpr unsigned http_unavailable = 503;
+// Time that callers may keep a directory answer: short, so that they leave a lost host soon.
+constexpr auto directory_time_to_live = milliseconds(3000);
+constexpr auto sweep_interval = milliseconds(500);
+// Descriptors for the store, the servers of this daemon, logs and files.
+constexpr double reserved_descriptors = 256;
+// Callers' part of the other descriptors; the rest is for backend servers.
+constexpr double caller_part_of_descriptors = 0.6;
+// Part of the shutdown grace in which new callers are accepted: they may still hold an old
+// directory answer.
+constexpr double accepting_part_of_grace = 0.6;
+// Time before the kill at which the process ends in any case.
+constexpr auto shutdown_margin = milliseconds(400);
+constexpr auto drain_check_interval = milliseconds(50);
+
+std::size_t most_connections(kernel::host_resources const& resources)
+{
+    constexpr double fewest = 16;
+    auto const usable = (resources.descriptors - reserved_descriptors) * caller_part_of_descriptors;
+    return static_cast<std::size_t>(std::max(usable, fewest));
+}
+
+class gateway_duty : public kernel::duty
+{
+public:
+    explicit gateway_duty(kernel::daemon_context& context)
+        : m_context(context)
+        , m_settings(*context.own_settings().gateway)
+        , m_interface(interface::find_interface(m_settings.interface_name))
+        , m_events(context.shared<kernel::mailbox<events::gateway_event>>())
+        , m_changed_settings(context.shared<kernel::snapshot<kernel::settings>>())
+        , m_timer(m_loop.context())
+        , m_dispatcher(context.own_settings(), make_actions(), context.own_metrics())
+        , m_pool(m_loop,
+                 context.own_metrics(),
+                 m_interface.headers,
+                 [this](request_pointer const& request, attempt_end&& end)
+                 {
+                     m_dispatcher.attempt_ended(request, std::move(end), kernel::monotonic_now());
+                     arm_timer();
+                 })
+        , m_gate(m_loop,
+                 context.own_metrics(),
+                 m_settings.callers,
+                 m_interface.headers,
+                 most_connections(m_settings.resources),
+                 make_gate_events())
+        , m_readiness(make_server(m_settings.readiness, &gateway_duty::answer_readiness))
+        , m_directory(make_server(m_settings.directory, &gateway_duty::answer_directory))
+        , m_metrics(make_server(m_settings.metrics, &gateway_duty::answer_metrics))
+    {
+        context.on_drain(
+            [this]()
+            {
+                static_cast<void>(m_events.try_push(events::drain_begun{}));
+            });
+    }
+
+    ~gateway_duty() override
+    {
+        m_events.set_wake_up({});
+    }
+
+    gateway_duty(gateway_duty const&) = delete;
+    gateway_duty& operator=(gateway_duty const&) = delete;
+
+    void run() override
+    {
+        m_loop.consume(m_events,
+                       [this](events::gateway_event&& event)
+                       {
+                           std::visit(
+                               [this](auto const& known)
+                               {
+                                   handle(known);
+                               },
+                               event);
+                           note_readiness();
+                           arm_timer();
+                       });
+        m_loop.every(sweep_interval,
+                     [this]()
+                     {
+                         sweep();
+                     });
+        m_loop.run();
+    }
+
+    void request_stop() override
+    {
+        m_loop.stop();
+    }
+
+private:
+    using handler = http::server_reply (gateway_duty::*)(http::server_request const&);
+
+    dispatcher_actions make_actions()
+    {
+        dispatcher_actions actions;
+        actions.send = [this](request_pointer const& request, milliseconds)
+        {
+            m_pool.send(request);
+        };
+        actions.cancel = [this](request_pointer const& request)
+        {
+            m_pool.cancel(request);
+        };
+        actions.reply = [this](request_pointer const& request, answer&& made)
+        {
+            m_gate.reply(request, std::move(made));
+        };
+        actions.random = [this]()
+        {
+            return std::uniform_real_distribution<double>(0, 1)(m_random);
+        };
+        return actions;
+    }
+
+    caller_gate_events make_gate_events()
+    {
+        caller_gate_events events;
+        events.begin = [this](request_pointer const& request)
+        {
+            m_dispatcher.begin(request, kernel::monotonic_now());
+            arm_timer();
+        };
+        events.gone = [this](request_pointer const& request)
+        {
+            m_dispatcher.caller_gone(request, kernel::monotonic_now());
+        };
+        return events;
+    }
+
+    std::unique_ptr<http::server> make_server(kernel::endpoint const& own, handler answer)
+    {
+        return std::make_unique<http::server>(
+            m_loop,
+            m_context.own_metrics(),
+            "pistachiohub_gateway_service_refusals_total",
+            own,
+            [this, answer](http::server_request const& wanted, http::reply_function const& reply)
+            {
+                reply((this->*answer)(wanted));
+            });
+    }
+
+    void handle(events::store_update<routing::routing_document> const& update)
+    {
+        m_dispatcher.apply(update);
+        if (m_dispatcher.table())
+            m_gate.set_limits(m_dispatcher.table()->document.limits);
+    }
+
+    void handle(events::store_update<fleet::entry_host> const& update)
+    {
+        m_dispatcher.apply(update, kernel::monotonic_now());
+    }
+
+    void handle(events::store_update<fleet::backend_server> const& update)
+    {
+        m_dispatcher.apply(update, kernel::monotonic_now());
+    }
+
+    void handle(events::store_update<events::evacuation> const& update)
+    {
+        m_dispatcher.apply(update, kernel::monotonic_now());
+    }
+
+    void handle(events::store_contact const& contact)
+    {
+        auto const now = kernel::monotonic_now();
+        if (contact.kind == m_interface.kinds.backend_servers)
+            m_dispatcher.apply_server_contact(contact.is_reachable, now);
+        if (contact.kind == m_interface.kinds.entry_hosts)
+            m_dispatcher.apply_host_contact(contact.is_reachable, now);
+    }
+
+    void handle(events::drain_begun const&)
+    {
+        m_is_draining = true;
+        m_dispatcher.hosts().own.is_leaving = true;
+        m_gate.drain();
+        auto const grace = m_settings.bounds.shutdown_grace;
+        auto const accepting = std::chrono::duration_cast<milliseconds>(
+            std::chrono::duration<double>(grace) * accepting_part_of_grace);
+        kernel::log_event(
+            kernel::log_level::info,
+            "gateway",
+            "drain_accepting",
+            {{"open_requests", m_dispatcher.open_requests()}, {"accepting_ms", accepting.count()}});
+        m_loop.after(accepting,
+                     [this]()
+                     {
+                         m_gate.stop_accepting();
+                         m_gate.drain();
+                         finish_drain_when_idle();
+                     });
+        m_loop.after(std::max<kernel::duration>(grace - shutdown_margin, accepting),
+                     [this]()
+                     {
+                         finish_drain("time_is_up");
+                     });
+    }
+
+    void finish_drain_when_idle()
+    {
+        if (m_gate.busy_connections() == 0)
+            return finish_drain("idle");
+        m_loop.after(drain_check_interval,
+                     [this]()
+                     {
+                         finish_drain_when_idle();
+                     });
+    }
+
+    void finish_drain(std::string_view cause)
+    {
+        if (m_context.is_drained())
+            return;
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "drain_finished",
+                          {{"cause", cause}, {"open_requests", m_dispatcher.open_requests()}});
+        m_context.finish_drain();
+    }
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return m_dispatcher.is_ready() && !m_is_draining;
+    }
+
+    void note_readiness()
+    {
+        if (is_ready() == m_was_ready)
+            return;
+        m_was_ready = is_ready();
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          m_was_ready ? "ready" : "not_ready",
+                          {{"is_draining", static_cast<int>(m_is_draining)}});
+    }
+
+    void sweep()
+    {
+        m_pool.sweep(kernel::monotonic_now());
+        auto const* const changed = m_changed_settings.get();
+        if (changed == nullptr || changed == m_applied_settings || !changed->gateway)
+            return;
+        m_applied_settings = changed;
+        m_settings.bounds = changed->gateway->bounds;
+        m_dispatcher.set_bounds(changed->gateway->bounds);
+    }
+
+    void arm_timer()
+    {
+        auto const wanted = m_dispatcher.next_tick(kernel::monotonic_now());
+        if (m_armed_for && *m_armed_for <= wanted)
+            return;
+        m_armed_for = wanted;
+        m_timer.expires_at(wanted);
+        m_timer.async_wait(
+            [this](boost::system::error_code failure)
+            {
+                if (failure)
+                    return;
+                m_armed_for.reset();
+                m_dispatcher.tick(kernel::monotonic_now());
+                arm_timer();
+            });
+    }
+
+    http::server_reply answer_readiness(http::server_request const& wanted)
+    {
+        if (wanted.path != m_interface.readiness_path)
+            return {http_not_found, "{\"reason\":\"unknown_path\"}"};
+        if (!is_ready())
+            return {http_unavailable, "{\"reason\":\"not_ready\"}"};
+        return {http_ok, "{}"};
+    }
+
+    http::server_reply answer_directory(http::server_request const& wanted)
+    {
+        if (wanted.path != m_interface.directory_path)
+            return {http_not_found, "{\"reason\":\"unknown_path\"}"};
+        try
+        {
+            auto const query = m_interface.decode_directory_query(wanted.query);
+            auto const hosts = choose_entry_hosts(
+                m_dispatcher.hosts(), query.region, query.failure_domain, kernel::monotonic_now());
+            if (hosts.empty())
+                return {http_unavailable, "{\"reason\":\"no_entry_host\"}"};
+            auto const time_to_live =
+                std::min(directory_time_to_live, m_settings.bounds.directory_ttl);
+            return {http_ok, m_interface.encode_directory_answer(hosts, time_to_live)};
+        }
+        catch (interface::document_error const& failure)
+        {
+            kernel::log_event(kernel::log_level::info,
+                              "gateway",
+                              "directory_query_refused",
+                              {{"error", std::string_view(failure.what())}});
+            return {http_bad_request, "{\"reason\":\"bad_query\"}"};
+        }
+    }
+
+    http::server_reply answer_metrics(http::server_request const& wanted)
+    {
+        if (wanted.path != "/metrics")
+            return {http_not_found, "{\"reason\":\"unknown_path\"}"};
+        return {http_ok, m_context.own_metrics().text(), "text/plain; version=0.0.4"};
+    }
+
+    kernel::daemon_context& m_context;
+    kernel::gateway_settings m_settings;
+    interface::deployment_interface const& m_interface;
+    kernel::mailbox<events::gateway_event>& m_events;
+    kernel::snapshot_reader<kernel::settings> m_changed_settings;
+    kernel::settings const* m_applied_settings = nullptr;
+    std::mt19937_64 m_random{std::random_device{}()};
+    kernel::event_loop m_loop;
+    boost::asio::steady_timer m_timer;
+    std::optional<kernel::monotonic_time> m_armed_for;
+    dispatcher m_dispatcher;
+    server_pool m_pool;
+    caller_gate m_gate;
+    std::unique_ptr<http::server> m_readiness;
+    std::unique_ptr<http::server> m_directory;
+    std::unique_ptr<http::server> m_metrics;
+    bool m_is_draining = false;
+    bool m_was_ready = false;
+};
+
+std::unique_ptr<kernel::duty> create(kernel::daemon_context& context)
+{
+    return std::make_unique<gateway_duty>(context);
+}
+
+kernel::registration const
+    gateway_registration({"gateway", start_order, create, kernel::daemon_part::gateway});
+
+} // namespace
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/message.cpp
@@ -0,0 +1,96 @@
+#include "plugins/gateway/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    auto const first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+/// Calls `visit` for each element of a list, without blanks, until it returns true.
+template<class Visit>
+bool any_element(std::string_view list, char separator, Visit&& visit)
+{
+    while (!list.empty())
+    {
+        auto const element = list.substr(0, list.find(separator));
+        list.remove_prefix(std::min(element.size() + 1, list.size()));
+        if (visit(trim(element)))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+bool is_same_name(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(),
+                      left.end(),
+                      right.begin(),
+                      right.end(),
+                      [](unsigned char one, unsigned char other)
+                      {
+                          return std::tolower(one) == std::tolower(other);
+                      });
+}
+
+std::string_view find_value(std::vector<message_header> const& headers, std::string_view name)
+{
+    for (auto const& header : headers)
+    {
+        if (is_same_name(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection_options)
+{
+    constexpr std::array<std::string_view, 10> always{"Connection",
+                                                      "Keep-Alive",
+                                                      "Proxy-Connection",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade",
+                                                      "Expect"};
+    auto const is_it = [name](std::string_view other)
+    {
+        return is_same_name(name, other);
+    };
+    return std::any_of(always.begin(), always.end(), is_it) ||
+           any_element(connection_options, ',', is_it);
+}
+
+std::string_view find_cookie(std::string_view cookies, std::string_view name)
+{
+    std::string_view value;
+    any_element(cookies,
+                ';',
+                [&value, name](std::string_view element)
+                {
+                    auto const equals = element.find('=');
+                    if (equals == std::string_view::npos || trim(element.substr(0, equals)) != name)
+                        return false;
+                    value = trim(element.substr(equals + 1));
+                    return true;
+                });
+    return value;
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/refusal.cpp
@@ -0,0 +1,67 @@
+#include "plugins/gateway/refusal.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+struct refusal_text
+{
+    std::string_view name;
+    unsigned status;
+    std::string_view reason;
+};
+
+refusal_text const& text_of(refusal cause)
+{
+    // In the order of the enumeration.
+    static constexpr std::array<refusal_text, 11> texts{{
+        {"no_configuration", 503, "Service Unavailable"},
+        {"no_route", 404, "Not Found"},
+        {"no_server", 503, "Service Unavailable"},
+        {"no_room", 503, "Service Unavailable"},
+        {"waited_too_long", 503, "Service Unavailable"},
+        {"not_started", 503, "Service Unavailable"},
+        {"broken_off", 502, "Bad Gateway"},
+        {"timed_out", 504, "Gateway Timeout"},
+        {"malformed", 400, "Bad Request"},
+        {"header_too_large", 431, "Request Header Fields Too Large"},
+        {"body_too_large", 413, "Payload Too Large"},
+    }};
+    return texts.at(static_cast<std::size_t>(cause));
+}
+
+std::string seconds_text(std::chrono::milliseconds value)
+{
+    constexpr double ms_per_s = 1000;
+    std::array<char, 32> text{};
+    auto const length = std::snprintf(
+        text.data(), text.size(), "%.3f", static_cast<double>(value.count()) / ms_per_s);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+std::string_view to_string(refusal cause)
+{
+    return text_of(cause).name;
+}
+
+answer make_refusal(refusal cause, std::optional<std::chrono::milliseconds> retry_after)
+{
+    auto const& text = text_of(cause);
+    answer made;
+    made.status = text.status;
+    made.reason = text.reason;
+    made.headers.push_back({"Content-Type", "application/json"});
+    if (retry_after)
+        made.headers.push_back({"Retry-After", seconds_text(*retry_after)});
+    made.body = "{\"reason\":\"" + std::string(text.name) + "\"}";
+    return made;
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/server_link.cpp
@@ -0,0 +1,286 @@
+#include "plugins/gateway/server_link.hpp"
+
+#include "libraries/http/silence_limit.hpp"
+#include "plugins/gateway/server_answer.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace pistachiohub::gateway
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http_library = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+// Below the second after which a lost opening packet is sent again, so that another server is tried
+// first.
+constexpr auto connect_timeout = milliseconds(700);
+// Time after which a server that acknowledges nothing counts as gone.
+constexpr auto server_silence = milliseconds(3000);
+constexpr std::uint32_t largest_header = 65536;
+constexpr std::uint64_t largest_answer = std::uint64_t{16} << 20;
+// Idle time that servers grant when they state none.
+constexpr auto default_keep_alive = std::chrono::seconds(4);
+// Answers to other requests that are skipped before the connection is given up.
+constexpr unsigned most_skipped = 4;
+
+using parser = http_library::response_parser<http_library::string_body>;
+
+answer to_answer(http_library::response<http_library::string_body>&& message)
+{
+    answer result;
+    result.status = message.result_int();
+    result.reason = std::string(message.reason());
+    for (auto const& field : message)
+        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    result.body = std::move(message.body());
+    return result;
+}
+
+// Reads the seconds of `timeout=5, max=100`.
+kernel::duration parse_keep_alive(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    auto const position = value.find(name);
+    if (position == std::string_view::npos)
+        return default_keep_alive;
+    auto const digits = value.substr(position + name.size());
+    unsigned seconds = 0;
+    auto const [end, failure] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return failure == std::errc{} ? kernel::duration(std::chrono::seconds(seconds))
+                                  : kernel::duration(default_keep_alive);
+}
+
+} // namespace
+
+struct server_link::implementation : std::enable_shared_from_this<implementation>
+{
+    implementation(kernel::event_loop& loop,
+                   kernel::endpoint const& server,
+                   interface::message_headers const& header_names)
+        : socket(loop.context())
+        , timer(loop.context())
+        , names(header_names)
+    {
+        error_code failure;
+        remote = tcp::endpoint(asio::ip::make_address(server.address, failure), server.port);
+    }
+
+    void connect();
+    void write();
+    void read();
+    void on_answer();
+    void finish(attempt_result result, answer&& received, std::string_view detail);
+    void close();
+    [[nodiscard]] bool is_quiet() const;
+
+    mutable tcp::socket socket;
+    asio::steady_timer timer;
+    interface::message_headers names;
+    tcp::endpoint remote;
+    beast::flat_buffer buffer;
+    std::optional<parser> reply_parser;
+    std::string request_id;
+    bool is_head = false;
+    request_writer make_text;
+    std::string text;
+    link_handler report;
+    unsigned skipped = 0;
+    bool is_connected = false;
+    bool is_written = false;
+    bool may_reuse = false;
+    kernel::monotonic_time ended_at;
+    kernel::duration keep_alive = default_keep_alive;
+};
+
+void server_link::implementation::connect()
+{
+    timer.expires_after(connect_timeout);
+    timer.async_wait(
+        [self = shared_from_this()](error_code failure)
+        {
+            if (failure || self->is_connected)
+                return;
+            self->finish(attempt_result::never_sent, {}, "connect_timeout");
+        });
+    socket.async_connect(remote,
+                         [self = shared_from_this()](error_code failure)
+                         {
+                             if (!self->report)
+                                 return;
+                             self->timer.cancel();
+                             if (failure)
+                                 return self->finish(
+                                     attempt_result::never_sent, {}, "connect_failed");
+                             self->is_connected = true;
+                             error_code ignored;
+                             self->socket.set_option(tcp::no_delay(true), ignored);
+                             self->socket.non_blocking(true, ignored);
+                             http::set_silence_limit(self->socket.native_handle(), server_silence);
+                             self->write();
+                         });
+}
+
+void server_link::implementation::write()
+{
+    text = make_text();
+    make_text = nullptr;
+    asio::async_write(socket,
+                      asio::buffer(text),
+                      [self = shared_from_this()](error_code failure, std::size_t bytes)
+                      {
+                          self->is_written = !failure;
+                          // After a part was written, the read decides: a refusal may have arrived.
+                          if (failure && bytes == 0)
+                              self->finish(attempt_result::never_sent, {}, "write_failed");
+                      });
+    // Reading starts at once, because a server may answer before it has read a long body.
+    read();
+}
+
+void server_link::implementation::read()
+{
+    reply_parser.emplace();
+    reply_parser->header_limit(largest_header);
+    reply_parser->body_limit(largest_answer);
+    reply_parser->skip(is_head);
+    http_library::async_read(socket,
+                             buffer,
+                             *reply_parser,
+                             [self = shared_from_this()](error_code failure, std::size_t)
+                             {
+                                 if (!self->report)
+                                     return;
+                                 if (failure)
+                                     return self->finish(
+                                         attempt_result::broken,
+                                         {},
+                                         failure == http_library::error::end_of_stream ? "closed"
+                                                                                       : "broken");
+                                 self->on_answer();
+                             });
+}
+
+void server_link::implementation::on_answer()
+{
+    bool const is_kept = reply_parser->keep_alive() && !reply_parser->need_eof();
+    auto received = to_answer(reply_parser->release());
+    switch (classify(received, names, request_id))
+    {
+    case message_meaning::interim:
+        return read();
+    case message_meaning::other_request:
+        if (++skipped > most_skipped || !is_kept)
+            return finish(attempt_result::broken, {}, "other_request");
+        return read();
+    case message_meaning::unproven:
+        return finish(attempt_result::broken, {}, "unproven");
+    case message_meaning::not_started:
+    case message_meaning::answer:
+        break;
+    }
+    // Bytes behind the answer, and an answer that came before the whole request was written, leave
+    // a connection on which the next answer could not be told apart.
+    may_reuse = is_kept && is_written && buffer.size() == 0 && skipped == 0;
+    keep_alive = parse_keep_alive(find_value(received.headers, "Keep-Alive"));
+    bool const is_refused = classify(received, names, request_id) == message_meaning::not_started;
+    finish(is_refused ? attempt_result::not_started : attempt_result::answered,
+           std::move(received),
+           "");
+}
+
+void server_link::implementation::finish(attempt_result result,
+                                         answer&& received,
+                                         std::string_view detail)
+{
+    if (!report)
+        return;
+    ended_at = kernel::monotonic_now();
+    attempt_end end;
+    end.result = result;
+    end.reported_load = parse_load(find_value(received.headers, names.load));
+    end.received = std::move(received);
+    end.detail = detail;
+    if (!may_reuse)
+        close();
+    auto const handle = std::exchange(report, nullptr);
+    handle(std::move(end));
+}
+
+void server_link::implementation::close()
+{
+    error_code ignored;
+    timer.cancel();
+    socket.close(ignored);
+}
+
+bool server_link::implementation::is_quiet() const
+{
+    char byte = 0;
+    error_code failure;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+server_link::server_link(kernel::event_loop& loop,
+                         kernel::endpoint const& server,
+                         interface::message_headers const& names)
+    : m_implementation(std::make_shared<implementation>(loop, server, names))
+{
+}
+
+server_link::~server_link()
+{
+    m_implementation->report = nullptr;
+    m_implementation->close();
+}
+
+void server_link::start(std::string request_id,
+                        bool is_head,
+                        request_writer write,
+                        link_handler handle)
+{
+    auto& own = *m_implementation;
+    own.request_id = std::move(request_id);
+    own.is_head = is_head;
+    own.make_text = std::move(write);
+    own.report = std::move(handle);
+    own.is_written = false;
+    own.may_reuse = false;
+    own.skipped = 0;
+    if (own.is_connected)
+        own.write();
+    else
+        own.connect();
+}
+
+bool server_link::is_reusable() const
+{
+    return m_implementation->may_reuse && m_implementation->is_quiet();
+}
+
+kernel::monotonic_time server_link::idle_since() const
+{
+    return m_implementation->ended_at;
+}
+
+kernel::duration server_link::keep_alive() const
+{
+    return m_implementation->keep_alive;
+}
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/server_table.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+/// @file
+/// The backend servers that this daemon knows, with what it has seen of each.
+
+#include "kernel/clock.hpp"
+#include "libraries/events/gateway_event.hpp"
+#include "libraries/fleet/backend_server.hpp"
+#include "libraries/routing/routing_table.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pistachiohub::gateway
+{
+
+/// How far a backend server is from this daemon.
+enum class distance
+{
+    same_domain,
+    same_region,
+    other_region
+};
+
+/// What a backend server said of its load, and what this daemon had running there at that time.
+struct load_report
+{
+    /// Running and waiting requests of other daemons.
+    double others = 0;
+    kernel::monotonic_time at;
+};
+
+/// One incarnation of a backend server. Only the gateway's thread changes it.
+struct known_server
+{
+    fleet::backend_server record;
+    /// Version of the store's object.
+    std::uint64_t version = 0;
+    distance how_far = distance::other_region;
+    std::string region;
+    kernel::monotonic_time cold_until;
+    /// No further request may be sent.
+    bool is_gone = false;
+    /// Since when it is missing from the store, while that is not yet taken as gone.
+    std::optional<kernel::monotonic_time> missing_since;
+    /// Requests of this daemon that it has not answered.
+    std::uint32_t own_running = 0;
+    load_report report;
+    /// It refused or failed, and is not chosen before this time.
+    kernel::monotonic_time avoided_until;
+    std::uint32_t failures_in_row = 0;
+    /// Second of the monotonic clock and requests sent in it while cold.
+    std::int64_t cold_second = 0;
+    double cold_sent = 0;
+};
+
+using server_pointer = std::shared_ptr<known_server>;
+
+/// All known backend servers of the deployment.
+struct server_table
+{
+    /// Failure domain of this daemon.
+    std::string own_domain;
+    std::string own_region;
+    std::map<std::string, std::string, std::less<>> region_of_domain;
+
+    routing::text_map<server_pointer> servers;
+    routing::text_map<std::vector<server_pointer>> by_service;
+    std::set<std::string, std::less<>> evacuated_domains;
+    /// When the store answered again after it had been lost.
+    std::optional<kernel::monotonic_time> store_regained_at;
+    bool has_list = false;
+};
+
+/// Time after the store's return in which entries that lapsed while it was away come back.
+inline constexpr auto lapsed_entry_grace = std::chrono::milliseconds(2200);
+
+/// Ids of backend servers that are new, and of those that are gone or leaving since.
+struct table_change
+{
+    std::vector<std::string> added;
+    std::vector<std::string> lost;
+};
+
+/// Applies what was read from the store. A backend server that starts again under its id is a new
+/// one, of which nothing is known.
+table_change apply(server_table& table,
+                   events::store_update<fleet::backend_server> const& update,
+                   kernel::monotonic_time now);
+
+/// Notes that the store was lost or regained.
+void apply_contact(server_table& table, bool is_reachable, kernel::monotonic_time now);
+
+/// Applies the evacuations that were read from the store.
+void apply(server_table& table, events::store_update<events::evacuation> const& update);
+
+/// Takes servers as gone whose grace after the store's return has passed.
+/// @returns their ids.
+std::vector<std::string> expire_missing(server_table& table, kernel::monotonic_time now);
+
+/// @returns the servers of a service, usable or not.
+[[nodiscard]] std::span<server_pointer const> servers_of(server_table const& table,
+                                                         std::string_view service);
+
+/// @returns whether requests may be sent to the server at all.
+[[nodiscard]] bool is_usable(server_table const& table, known_server const& server);
+
+/// @returns the estimated running and waiting requests of a server, of all daemons. What others
+/// have there decays with the age of the report.
+[[nodiscard]] double estimated_load(known_server const& server, kernel::monotonic_time now);
+
+/// Notes the load that an answer of the server reports.
+/// @param total running and waiting requests, without the answered one.
+void record_load(known_server& server, double total, kernel::monotonic_time now);
+
+/// Notes that the server refused a request, could not be reached or broke off.
+void record_failure(known_server& server, kernel::monotonic_time now);
+
+/// Notes an answer of the server.
+void record_success(known_server& server);
+
+} // namespace pistachiohub::gateway
--- /dev/null
+++ b/plugins/gateway/spill.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+/// @file
+/// Which part of a service's objects leaves the own failure domain and the own region.
+///
+/// Answers the load pattern in which one failure domain has fewer slots than its callers need, for
+/// minutes or in waves. Moving single requests when slots run out would send each object to
+/// different servers, all of them without it in their caches. So a part of the objects moves,
+/// always the same ones, and the part changes slowly.
+
+#include "kernel/clock.hpp"
+
+#include <optional>
+
+namespace pistachiohub::gateway
+{
+
+/// How busy the servers of one service are, by distance; missing where there are none.
+struct utilisation
+{
+    std::optional<double> own_domain;
+    std::optional<double> own_region;
+    std::optional<double> everywhere;
+};
+
+/// Parts of the objects of one service. Positions of keys below `domain_part` stay in the own
+/// failure domain, those below `region_part` in the own region.
+struct spill_state
+{
+    double domain_part = 1;
+    double region_part = 1;
+    kernel::monotonic_time updated_at;
+    bool is_started = false;
+};
+
+/// Utilisation above which objects leave, because waits grow faster than the use of the slots.
+inline constexpr double crowded_utilisation = 0.8;
+/// Utilisation below which objects return.
+inline constexpr double calm_utilisation = 0.6;
+/// Share of the permitted change that the region's part uses. The rest is left for requests that
+/// move for other reasons.
+inline constexpr double share_of_shift = 0.5;
+/// Window over which a change of regions is bounded.
+inline constexpr std::chrono::duration<double> shift_window{2};
+/// Largest change of the domain's part in a second; moves inside a region are not bounded.
+inline constexpr double domain_change_per_second = 0.2;
+
+/// Moves the parts by what is seen now.
+///
+/// Invariant: within any two seconds `region_part` changes by at most `share_of_shift *
+/// most_shift`.
+/// @param most_shift fraction of a region's requests that may change their region in two seconds.
+void update_spill(spill_state& state,
+                  utilisation const& seen,
+                  double most_shift,
+                  kernel::monotonic_time now);
+
+} // namespace pistachiohub::gateway
