discovery: Derive the rhythm of reads from the bounds

Cause: a store that forgets its history while a watch waits reports neither the changes nor their loss until the watch ends. Ruled out: the connection (it stayed open) and the 410 handling (the next call listed at once).

--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -4,8 +4,7 @@
 #include "kernel/log.hpp"
 #include "libraries/fleet/entry_host_document.hpp"
 #include "plugins/discovery/object_feed.hpp"
-
-#include <chrono>
+#include "plugins/discovery/rhythm.hpp"
 
 namespace pistachiohub::discovery
 {
@@ -13,16 +12,6 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-
-// Backend servers report all the time, so changes are read in batches. Leaving servers must be left
-// within seconds.
-constexpr feed_rhythm server_rhythm{milliseconds(1000), milliseconds(700)};
-// Configurations and evacuations are rare; a waiting watch brings them at once.
-constexpr feed_rhythm rare_rhythm{milliseconds(5000), milliseconds(50)};
-// Entry hosts report all the time; a silent one must leave the directory within seconds.
-constexpr feed_rhythm entry_host_rhythm{milliseconds(1000), milliseconds(1000)};
-
 constexpr int first_start_order = 110;
 
 interface::deployment_interface const& interface_of(kernel::daemon_context& context)
@@ -30,6 +19,11 @@
     return interface::find_interface(context.own_settings().gateway->interface_name);
 }
 
+kernel::gateway_bounds const& bounds_of(kernel::daemon_context& context)
+{
+    return context.own_settings().gateway->bounds;
+}
+
 void log_unreadable(kernel::daemon_context& context,
                     std::string_view kind,
                     object_store::object const& read,
@@ -81,21 +75,27 @@
 {
     auto const& spoken = interface_of(context);
     return make_feed<routing::routing_document>(
-        context, spoken.kinds.configuration, rare_rhythm, spoken.decode_configuration);
+        context,
+        spoken.kinds.configuration,
+        configuration_rhythm(bounds_of(context)),
+        spoken.decode_configuration);
 }
 
 std::unique_ptr<kernel::duty> create_server_feed(kernel::daemon_context& context)
 {
     auto const& spoken = interface_of(context);
     return make_feed<fleet::backend_server>(
-        context, spoken.kinds.backend_servers, server_rhythm, spoken.decode_backend_server);
+        context,
+        spoken.kinds.backend_servers,
+        server_rhythm(bounds_of(context)),
+        spoken.decode_backend_server);
 }
 
 std::unique_ptr<kernel::duty> create_evacuation_feed(kernel::daemon_context& context)
 {
     return make_feed<events::evacuation>(context,
                                          interface_of(context).kinds.evacuations,
-                                         rare_rhythm,
+                                         evacuation_rhythm(bounds_of(context)),
                                          [](object_store::object const& read)
                                          {
                                              return events::evacuation{read.name};
@@ -106,7 +106,7 @@
 {
     return make_feed<fleet::entry_host>(context,
                                         interface_of(context).kinds.entry_hosts,
-                                        entry_host_rhythm,
+                                        entry_host_rhythm(bounds_of(context)),
                                         [](object_store::object const& read)
                                         {
                                             return fleet::parse_entry_host(read.name, read.value);
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -8,6 +8,7 @@
 #include "libraries/events/gateway_event.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/object_store/object_store.hpp"
+#include "plugins/discovery/rhythm.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <functional>
@@ -18,15 +19,6 @@
 namespace pistachiohub::discovery
 {
 
-/// How often one kind is read.
-struct feed_rhythm
-{
-    /// How long a watch waits for a change.
-    std::chrono::milliseconds watch_wait;
-    /// Shortest time between two calls. Kinds that change all the time are read in batches.
-    std::chrono::milliseconds spacing;
-};
-
 /// Reads all objects of a kind once, then follows changes by watches.
 class object_feed : public kernel::duty
 {
