gateway: Share budgets among all hosts that may live

Ruled out: the token count of one daemon (at most four in a second each). Hosts count until they were silent for 10 s; before the first list there is no share.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -105,7 +105,6 @@
     m_hosts.own.callers = own.gateway->callers;
     m_hosts.own.failure_domain = own.failure_domain;
     m_hosts.own.region = own.gateway->region;
-    m_live_hosts = {own.name};
 }
 
 void dispatcher::set_bounds(kernel::gateway_bounds const& bounds)
@@ -233,8 +232,10 @@
         return false;
     auto const most =
         service->cold_requests_per_second * m_bounds.cold_factor + m_bounds.cold_slack;
-    auto const position = cold_position(server.record.id, m_own_name, m_live_hosts);
-    return try_send_cold(server, cold_share(most, position, m_live_hosts.size()), now);
+    if (m_sharing_hosts.empty())
+        return false;
+    auto const position = cold_position(server.record.id, m_own_name, m_sharing_hosts);
+    return try_send_cold(server, cold_share(most, position, m_sharing_hosts.size()), now);
 }
 
 bool dispatcher::try_send(request_pointer const& request, kernel::monotonic_time now)
@@ -374,9 +375,10 @@
     // A request that never reached a backend server is no further send there.
     if (result == attempt_result::never_sent)
         return true;
+    auto const extra = m_sharing_hosts.empty() ? 0 : m_bounds.extra_retries;
     return try_repeat(state_of(request->service).retries,
-                      {m_bounds.retry_ratio, m_bounds.extra_retries, m_bounds.retry_window},
-                      m_live_hosts.size(),
+                      {m_bounds.retry_ratio, extra, m_bounds.retry_window},
+                      m_sharing_hosts.size(),
                       now);
 }
 
@@ -579,7 +581,7 @@
     if (now - m_adapted_at < adapt_interval)
         return;
     m_adapted_at = now;
-    m_live_hosts = live_hosts(m_hosts, now);
+    m_sharing_hosts = sharing_hosts(m_hosts, now);
     for (auto& [service, state] : m_services)
         update_utilisation(service, state, now);
 }
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -151,7 +151,8 @@
     routing::text_map<split_rotation> m_rotations;
     /// Requests by the time at which they must be answered.
     std::multimap<kernel::monotonic_time, std::weak_ptr<gateway_request>> m_due;
-    std::vector<std::string> m_live_hosts;
+    /// Hosts among which budgets of the fleet are shared; empty while they are unknown.
+    std::vector<std::string> m_sharing_hosts;
     kernel::monotonic_time m_adapted_at;
     std::size_t m_open = 0;
 };
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -36,6 +36,7 @@
 {
     if (update.is_complete)
     {
+        table.has_list = true;
         std::erase_if(table.hosts,
                       [&update](auto const& entry)
                       {
@@ -82,12 +83,16 @@
     return !table.is_store_reachable || now - silent_since < host_silence;
 }
 
-std::vector<std::string> live_hosts(host_table const& table, kernel::monotonic_time now)
+std::vector<std::string> sharing_hosts(host_table const& table, kernel::monotonic_time now)
 {
-    std::vector<std::string> names{table.own.name};
+    std::vector<std::string> names;
+    if (!table.has_list)
+        return names;
+    names.push_back(table.own.name);
     for (auto const& [name, host] : table.hosts)
     {
-        if (is_live(table, host, now))
+        auto const silent_since = std::max(host.reported_at, table.reachable_since);
+        if (!table.is_store_reachable || now - silent_since < share_silence)
             names.push_back(name);
     }
     std::sort(names.begin(), names.end());
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -31,6 +31,8 @@
     fleet::entry_host own;
     /// The other hosts.
     routing::text_map<known_host> hosts;
+    /// Whether all registered hosts were read.
+    bool has_list = false;
     /// Whether the store answers this daemon. While it does not, silence proves nothing.
     bool is_store_reachable = true;
     /// When the store answered again.
@@ -40,6 +42,9 @@
 /// Silence after which a host counts as gone, while the store answers.
 inline constexpr auto host_silence = std::chrono::milliseconds(3600);
 
+/// Silence after which a host has no share of the fleet's budgets any more.
+inline constexpr auto share_silence = std::chrono::seconds(10);
+
 /// Entry hosts in one answer at most.
 inline constexpr std::size_t most_listed_hosts = 64;
 
@@ -55,9 +60,11 @@
 [[nodiscard]] bool
 is_live(host_table const& table, known_host const& host, kernel::monotonic_time now);
 
-/// @returns names of the live hosts and of this one, in order.
-[[nodiscard]] std::vector<std::string> live_hosts(host_table const& table,
-                                                  kernel::monotonic_time now);
+/// @returns names of the hosts among which budgets of the fleet are shared, in order; empty while
+/// they are unknown. They include hosts that may be gone, so that the sum of the shares of those that
+/// live stays within the budget, also just after all daemons have started again.
+[[nodiscard]] std::vector<std::string> sharing_hosts(host_table const& table,
+                                                     kernel::monotonic_time now);
 
 /// Chooses entry hosts for a caller: those of its failure domain, else of its region, else all.
 [[nodiscard]] std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
