gateway: Have requests wait for the two servers of their object, and only briefly

Cause: a request whose first server had no free slot went to any other one, so each object was cold nearly everywhere; runs took three times as long, and the overload never ended. Ruled out: processor time (0.02 of 0.2 cores).

--- a/libraries/object_store/object.hpp
+++ b/libraries/object_store/object.hpp
@@ -42,7 +42,7 @@
     /// JSON text.
     std::string value;
     /// JSON text of what observers report of the object beside its value; empty if there is none.
-    std::string observed;
+    std::string observed{};
     /// A change: the object was removed; its value is the last one, or empty.
     bool is_removed = false;
 };
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -74,21 +74,19 @@
 std::unique_ptr<kernel::duty> create_configuration_feed(kernel::daemon_context& context)
 {
     auto const& spoken = interface_of(context);
-    return make_feed<routing::routing_document>(
-        context,
-        spoken.kinds.configuration,
-        configuration_rhythm(bounds_of(context)),
-        spoken.decode_configuration);
+    return make_feed<routing::routing_document>(context,
+                                                spoken.kinds.configuration,
+                                                configuration_rhythm(bounds_of(context)),
+                                                spoken.decode_configuration);
 }
 
 std::unique_ptr<kernel::duty> create_server_feed(kernel::daemon_context& context)
 {
     auto const& spoken = interface_of(context);
-    return make_feed<fleet::backend_server>(
-        context,
-        spoken.kinds.backend_servers,
-        server_rhythm(bounds_of(context)),
-        spoken.decode_backend_server);
+    return make_feed<fleet::backend_server>(context,
+                                            spoken.kinds.backend_servers,
+                                            server_rhythm(bounds_of(context)),
+                                            spoken.decode_backend_server);
 }
 
 std::unique_ptr<kernel::duty> create_evacuation_feed(kernel::daemon_context& context)
--- a/plugins/discovery/rhythm.hpp
+++ b/plugins/discovery/rhythm.hpp
@@ -13,8 +13,8 @@
 /// How often one kind is read.
 struct feed_rhythm
 {
-    /// How long a watch waits for a change. A store that forgets its history while a watch waits may
-    /// never report the changes that were forgotten, so they are found by the next call only.
+    /// How long a watch waits for a change. A store that forgets its history while a watch waits
+    /// may never report the changes that were forgotten, so they are found by the next call only.
     std::chrono::milliseconds watch_wait;
     /// Shortest time between two calls. Kinds that change all the time are read in batches.
     std::chrono::milliseconds spacing;
--- a/plugins/gateway/affinity.cpp
+++ b/plugins/gateway/affinity.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace pistachiohub::gateway
@@ -46,23 +47,27 @@
     return -candidate.weight / std::log(unit + smallest);
 }
 
-std::optional<std::size_t> choose_by_affinity(std::uint64_t key_hash,
-                                              std::span<affinity_candidate const> candidates)
+std::vector<std::size_t> rank_by_affinity(std::uint64_t key_hash,
+                                          std::span<affinity_candidate const> candidates,
+                                          std::size_t count)
 {
-    std::optional<std::size_t> best;
-    double best_score = 0;
-    for (std::size_t position = 0; position < candidates.size(); ++position)
+    std::vector<double> scores;
+    std::vector<std::size_t> order;
+    for (auto const& candidate : candidates)
     {
-        if (!candidates[position].has_room)
-            continue;
-        auto const score = affinity_score(key_hash, candidates[position]);
-        if (!best || score > best_score)
-        {
-            best = position;
-            best_score = score;
-        }
+        order.push_back(scores.size());
+        scores.push_back(affinity_score(key_hash, candidate));
     }
-    return best;
+    auto const kept = order.begin() + static_cast<std::ptrdiff_t>(std::min(count, order.size()));
+    std::partial_sort(order.begin(),
+                      kept,
+                      order.end(),
+                      [&scores](std::size_t left, std::size_t right)
+                      {
+                          return scores[left] > scores[right];
+                      });
+    order.erase(kept, order.end());
+    return order;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/affinity.hpp
+++ b/plugins/gateway/affinity.hpp
@@ -1,13 +1,12 @@
 #pragma once
 
 /// @file
-/// Rendezvous hashing with bounded load: all daemons choose the same backend server for an object
-/// without talking, as long as it has room.
+/// Rendezvous hashing: all daemons prefer the same backend servers for an object without talking.
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace pistachiohub::gateway
 {
@@ -19,8 +18,6 @@
     std::uint64_t server_hash = 0;
     /// Weight; servers get keys in proportion.
     double weight = 1;
-    /// Whether it has room for one more request.
-    bool has_room = false;
 };
 
 /// @returns the hash of an id or key.
@@ -33,9 +30,8 @@
 /// server joins or leaves, only its own keys move.
 [[nodiscard]] double affinity_score(std::uint64_t key_hash, affinity_candidate const& candidate);
 
-/// @returns the position of the candidate with the highest score among those with room, or nothing
-/// when none has room.
-[[nodiscard]] std::optional<std::size_t>
-choose_by_affinity(std::uint64_t key_hash, std::span<affinity_candidate const> candidates);
+/// @returns the positions of the `count` candidates with the highest scores, the best one first.
+[[nodiscard]] std::vector<std::size_t> rank_by_affinity(
+    std::uint64_t key_hash, std::span<affinity_candidate const> candidates, std::size_t count);
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/cold_allowance.cpp
+++ b/plugins/gateway/cold_allowance.cpp
@@ -23,7 +23,7 @@
     auto const key = hash_text(server_id);
     auto const score_of = [key](std::string const& host)
     {
-        return affinity_score(key, {hash_text(host), 1, true});
+        return affinity_score(key, {hash_text(host), 1});
     };
     auto const own_score = score_of(own);
     return static_cast<std::size_t>(std::count_if(hosts.begin(),
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -26,11 +26,17 @@
 // Requests that wait for one service at most; bounds the memory and the time of one pass.
 constexpr std::size_t most_waiting = 512;
 // Waiting requests without room that one pass looks at.
-constexpr std::size_t most_looked_at = 16;
+constexpr std::size_t most_looked_at = 48;
 // Part of the target latency for which a request waits for a server that knows its object, before
-// it takes another failure domain or region.
-constexpr double patience_for_domain = 0.15;
-constexpr double patience_for_region = 0.3;
+// it takes another server, failure domain or region.
+constexpr double patience_for_affinity = 0.4;
+constexpr double patience_for_domain = 0.5;
+constexpr double patience_for_region = 0.6;
+// Part of the target latency that a request may wait at most when it begins to wait. The rest is
+// for its run.
+constexpr double longest_wait = 0.6;
+// Time before the caller leaves at which it must have its answer, to read it in time.
+constexpr auto answer_margin = milliseconds(25);
 // Permissions for sends to another region: earned by each request, and the most that are saved.
 constexpr double far_sends_per_request = 0.04;
 constexpr double most_far_sends = 4;
@@ -189,6 +195,15 @@
     gateway::apply_contact(m_hosts, is_reachable, now);
 }
 
+void dispatcher::set_waiting(gateway_request& request, server_pointer const& server)
+{
+    if (request.waits_for)
+        --request.waits_for->own_waiting;
+    request.waits_for = server;
+    if (request.waits_for)
+        ++request.waits_for->own_waiting;
+}
+
 service_state& dispatcher::state_of(std::string const& service)
 {
     return m_services[service];
@@ -206,12 +221,15 @@
     if (request->route == nullptr)
         return refuse(request, refusal::no_route, now);
     auto const& route = *request->route;
-    request->answer_by = std::min(request->caller_leaves_at, request->arrived_at + route.timeout);
+    request->answer_by =
+        std::min(request->caller_leaves_at - answer_margin, request->arrived_at + route.timeout);
     if (!route.has_affinity)
         request->affinity_key.reset();
     auto const part = route.split.size() == 1 ? 0 : next_part(m_rotations[route.name], route.split);
     request->service = route.split[part].service;
     m_due.emplace(request->answer_by, request);
+    m_due.emplace(std::min(request->answer_by, request->arrived_at + route.target_latency),
+                  request);
     auto& state = state_of(request->service);
     record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
     state.far_sends = std::min(state.far_sends + far_sends_per_request, most_far_sends);
@@ -247,6 +265,7 @@
     input.position =
         request->affinity_key ? position_of_key(*request->affinity_key) : m_actions.random();
     input.spill = &state.spill;
+    input.may_leave_affinity = waited > patience_for_affinity * target;
     input.may_leave_domain = request->sends > 0 || waited > patience_for_domain * target;
     input.may_leave_region =
         state.far_sends >= 1 && (request->sends > 0 || waited > patience_for_region * target);
@@ -263,6 +282,7 @@
         refuse(request, request->sends > 0 ? refusal::not_started : refusal::no_server, now);
         return false;
     }
+    set_waiting(*request, chosen.server ? nullptr : chosen.preferred);
     if (!chosen.server)
         return false;
     bool const is_far = chosen.server->how_far == distance::other_region;
@@ -288,24 +308,22 @@
 void dispatcher::wait(request_pointer const& request, kernel::monotonic_time now)
 {
     auto& state = state_of(request->service);
-    auto const position =
-        std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before);
-    auto const ahead = static_cast<std::size_t>(std::distance(state.waiting.begin(), position));
-    auto const begins_at = now + std::chrono::duration_cast<kernel::duration>(
-                                     seconds_value(expected_wait_seconds(state, ahead)));
-    bool const is_hopeless =
-        state.waiting.size() >= most_waiting || begins_at + shortest_run >= request->answer_by;
+    assert(request->waits_for);
+    // It does not stand before itself.
+    --request->waits_for->own_waiting;
+    auto const wait_seconds = expected_wait_seconds(*request->waits_for, state.run_seconds, now);
+    ++request->waits_for->own_waiting;
+    auto const waited = seconds_value(now - request->arrived_at).count();
+    auto const target = seconds_value(request->route->target_latency).count();
+    bool const is_hopeless = state.waiting.size() >= most_waiting ||
+                             waited + wait_seconds > longest_wait * target ||
+                             now + shortest_run >= request->answer_by;
     if (is_hopeless)
         return refuse(request, refusal::no_room, now);
     request->state = request_state::waiting;
-    state.waiting.insert(position, request);
-}
-
-double dispatcher::expected_wait_seconds(service_state const& state, std::size_t ahead) const
-{
-    if (ahead == 0 || state.running == 0)
-        return 0;
-    return static_cast<double>(ahead) * state.run_seconds / static_cast<double>(state.running);
+    state.waiting.insert(
+        std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before),
+        request);
 }
 
 void dispatcher::send_waiting(std::string const& service, kernel::monotonic_time now)
@@ -432,6 +450,7 @@
     }
     else
         state_of(service).waiting.remove(request);
+    set_waiting(*request, nullptr);
     request->state = request_state::ended;
     --m_open;
     m_metrics.find_counter("pistachiohub_gateway_callers_gone_total").increment();
@@ -461,7 +480,8 @@
 
 milliseconds dispatcher::retry_after(service_state const& state)
 {
-    auto const wait = expected_wait_seconds(state, state.waiting.size() + 1);
+    auto const running = static_cast<double>(std::max<std::size_t>(state.running, 1));
+    auto const wait = (static_cast<double>(state.waiting.size()) + 1) * state.run_seconds / running;
     // Callers that were refused together come back spread over the time in which slots come free.
     auto const spread = wait * (0.5 + m_actions.random());
     return std::clamp(std::chrono::duration_cast<milliseconds>(seconds_value(spread)),
@@ -475,6 +495,7 @@
                         kernel::monotonic_time now)
 {
     assert(request->state != request_state::ended);
+    set_waiting(*request, nullptr);
     request->state = request_state::ended;
     --m_open;
     m_metrics.find_counter("pistachiohub_gateway_requests_total", {"outcome", outcome}).increment();
@@ -512,12 +533,16 @@
         m_due.erase(m_due.begin());
         if (!request || request->state == request_state::ended)
             continue;
+        // A run that begins after the target latency takes a slot from a request that is still in
+        // time.
         if (request->state == request_state::waiting)
         {
             state_of(request->service).waiting.remove(request);
             refuse(request, refusal::waited_too_long, now);
             continue;
         }
+        if (now < request->answer_by)
+            continue;
         request->may_have_run = true;
         m_actions.cancel(request);
         leave_server(request);
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -129,7 +129,8 @@
                 kernel::monotonic_time now);
     void refuse(request_pointer const& request, refusal cause, kernel::monotonic_time now);
     [[nodiscard]] std::chrono::milliseconds retry_after(service_state const& state);
-    [[nodiscard]] double expected_wait_seconds(service_state const& state, std::size_t ahead) const;
+    /// Counts the request among those that wait for `server`, which may be null.
+    static void set_waiting(gateway_request& request, server_pointer const& server);
     void leave_server(request_pointer const& request);
     void update_utilisation(std::string const& service,
                             service_state& state,
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -61,8 +61,8 @@
 is_live(host_table const& table, known_host const& host, kernel::monotonic_time now);
 
 /// @returns names of the hosts among which budgets of the fleet are shared, in order; empty while
-/// they are unknown. They include hosts that may be gone, so that the sum of the shares of those that
-/// live stays within the budget, also just after all daemons have started again.
+/// they are unknown. They include hosts that may be gone, so that the sum of the shares of those
+/// that live stays within the budget, also just after all daemons have started again.
 [[nodiscard]] std::vector<std::string> sharing_hosts(host_table const& table,
                                                      kernel::monotonic_time now);
 
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -53,6 +53,8 @@
     request_state state = request_state::waiting;
     /// The backend server of the last send.
     server_pointer server;
+    /// The backend server for a slot of which it waits.
+    server_pointer waits_for;
     kernel::monotonic_time sent_at;
     std::uint32_t sends = 0;
     /// Ids of the backend servers to which it was sent or that could not be reached.
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -33,24 +33,27 @@
            request.tried.end();
 }
 
-bool has_room(known_server const& server, kernel::monotonic_time now)
-{
-    return now >= server.avoided_until && estimated_load(server, now) + 0.5 <= server.record.slots;
-}
-
 tiers collect(server_table const& table, gateway_request const& request, kernel::monotonic_time now)
 {
     tiers result;
+    tiers avoided;
     for (auto const& server : servers_of(table, request.service))
     {
         if (!is_usable(table, *server) || !may_run_at(request, *server) ||
             was_tried(request, *server))
             continue;
         auto& own = result[static_cast<std::size_t>(server->how_far)];
-        own.servers.push_back(server);
-        own.candidates.push_back({hash_text(server->record.id),
-                                  static_cast<double>(server->record.slots),
-                                  has_room(*server, now)});
+        // Servers that failed just now are left out as long as there are others.
+        auto& group =
+            now >= server->avoided_until ? own : avoided[static_cast<std::size_t>(server->how_far)];
+        group.servers.push_back(server);
+        group.candidates.push_back(
+            {hash_text(server->record.id), static_cast<double>(server->record.slots)});
+    }
+    for (std::size_t position = 0; position < distances; ++position)
+    {
+        if (result[position].servers.empty())
+            result[position] = std::move(avoided[position]);
     }
     return result;
 }
@@ -72,43 +75,69 @@
     return distances;
 }
 
-// Takes the least loaded server for requests without affinity.
-std::optional<std::size_t> least_loaded(tier const& among, kernel::monotonic_time now)
+bool can_take(known_server& server,
+              choice_input const& input,
+              std::function<bool(known_server&)> const& may_send_cold)
 {
-    std::optional<std::size_t> best;
-    double best_load = 0;
-    for (std::size_t position = 0; position < among.servers.size(); ++position)
+    return has_room(server, input.now) && input.now >= server.avoided_until &&
+           (input.now >= server.cold_until || may_send_cold(server));
+}
+
+// Takes the least loaded server.
+server_pointer least_loaded(tier const& among,
+                            choice_input const& input,
+                            std::function<bool(known_server&)> const& may_send_cold)
+{
+    auto by_load = among.servers;
+    std::sort(by_load.begin(),
+              by_load.end(),
+              [&input](server_pointer const& left, server_pointer const& right)
+              {
+                  return estimated_load(*left, input.now) * right->record.slots <
+                         estimated_load(*right, input.now) * left->record.slots;
+              });
+    for (auto const& server : by_load)
     {
-        if (!among.candidates[position].has_room)
-            continue;
-        auto const& server = *among.servers[position];
-        auto const load = estimated_load(server, now) / server.record.slots;
-        if (!best || load < best_load)
-        {
-            best = position;
-            best_load = load;
-        }
+        if (can_take(*server, input, may_send_cold))
+            return server;
     }
-    return best;
+    return nullptr;
 }
 
-server_pointer choose_in(tier& among,
-                         gateway_request const& request,
-                         choice_input const& input,
-                         std::function<bool(known_server&)> const& may_send_cold)
+/// What was found at one distance.
+struct found_server
 {
-    for (;;)
+    server_pointer chosen;
+    /// The first server of the object, or any for requests without one.
+    server_pointer preferred;
+};
+
+found_server choose_in(tier const& among,
+                       gateway_request const& request,
+                       choice_input const& input,
+                       std::function<bool(known_server&)> const& may_send_cold)
+{
+    found_server found;
+    if (!request.affinity_key)
     {
-        auto const chosen = request.affinity_key
-                                ? choose_by_affinity(*request.affinity_key, among.candidates)
-                                : least_loaded(among, input.now);
-        if (!chosen)
-            return nullptr;
-        auto const& server = among.servers[*chosen];
-        if (input.now >= server->cold_until || may_send_cold(*server))
-            return server;
-        among.candidates[*chosen].has_room = false;
+        found.chosen = least_loaded(among, input, may_send_cold);
+        found.preferred = found.chosen ? found.chosen : among.servers.front();
+        return found;
     }
+    auto const ranked =
+        rank_by_affinity(*request.affinity_key, among.candidates, servers_of_object);
+    found.preferred = among.servers[ranked.front()];
+    for (auto const position : ranked)
+    {
+        if (can_take(*among.servers[position], input, may_send_cold))
+        {
+            found.chosen = among.servers[position];
+            return found;
+        }
+    }
+    if (input.may_leave_affinity)
+        found.chosen = least_loaded(among, input, may_send_cold);
+    return found;
 }
 
 bool may_try(std::size_t candidate, std::size_t first, choice_input const& input)
@@ -130,16 +159,20 @@
     auto found = collect(table, request, input.now);
     auto const first = first_distance(found, input);
     if (first == distances)
-        return {nullptr, choice_failure::no_server};
+        return {nullptr, choice_failure::no_server, nullptr};
+    choice result{nullptr, choice_failure::no_room, nullptr};
     std::array<std::size_t, distances + 1> const order{first, 0, 1, 2};
     for (auto const candidate : order)
     {
         if (found[candidate].servers.empty() || !may_try(candidate, first, input))
             continue;
-        if (auto server = choose_in(found[candidate], request, input, may_send_cold))
-            return {std::move(server), choice_failure::none};
+        auto taken = choose_in(found[candidate], request, input, may_send_cold);
+        if (!result.preferred)
+            result.preferred = taken.preferred;
+        if (taken.chosen)
+            return {std::move(taken.chosen), choice_failure::none, nullptr};
     }
-    return {nullptr, choice_failure::no_room};
+    return result;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -21,6 +21,8 @@
     /// Whether a server at another distance may be taken when there is no room.
     bool may_leave_region = false;
     bool may_leave_domain = false;
+    /// Whether a server that does not know the object may be taken.
+    bool may_leave_affinity = false;
     kernel::monotonic_time now;
 };
 
@@ -34,11 +36,17 @@
     no_room
 };
 
+/// Servers that know an object, because its requests go to them: the first, and the second while
+/// the first has no room. More of them would know fewer objects each.
+inline constexpr std::size_t servers_of_object = 2;
+
 /// The chosen server, or why there is none.
 struct choice
 {
     server_pointer server;
     choice_failure failure = choice_failure::none;
+    /// For no_room: the server for which the request should wait.
+    server_pointer preferred;
 };
 
 /// @param may_send_cold decides on a request to a cold server, and counts it.
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -200,6 +200,20 @@
            server.report.others * std::exp2(-age.count() / report_half_life.count());
 }
 
+bool has_room(known_server const& server, kernel::monotonic_time now)
+{
+    // The decayed part of the estimate is rarely whole; half a request counts as none.
+    return estimated_load(server, now) + 0.5 <= server.record.slots;
+}
+
+double
+expected_wait_seconds(known_server const& server, double run_seconds, kernel::monotonic_time now)
+{
+    auto const slots = static_cast<double>(std::max<std::uint32_t>(server.record.slots, 1));
+    auto const ahead = std::max(0.0, estimated_load(server, now) + 1 - slots) + server.own_waiting;
+    return ahead * run_seconds / slots;
+}
+
 void record_load(known_server& server, double total, kernel::monotonic_time now)
 {
     server.report.others = std::max(0.0, total - server.own_running);
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -51,6 +51,8 @@
     std::optional<kernel::monotonic_time> missing_since;
     /// Requests of this daemon that it has not answered.
     std::uint32_t own_running = 0;
+    /// Requests that wait in this daemon for a slot there.
+    std::uint32_t own_waiting = 0;
     load_report report;
     /// It refused or failed, and is not chosen before this time.
     kernel::monotonic_time avoided_until;
@@ -115,6 +117,14 @@
 /// have there decays with the age of the report.
 [[nodiscard]] double estimated_load(known_server const& server, kernel::monotonic_time now);
 
+/// @returns whether a further request would find a free slot.
+[[nodiscard]] bool has_room(known_server const& server, kernel::monotonic_time now);
+
+/// @returns the time in seconds until a further request of this daemon would find a free slot.
+/// @param run_seconds time for which a request takes a slot.
+[[nodiscard]] double
+expected_wait_seconds(known_server const& server, double run_seconds, kernel::monotonic_time now);
+
 /// Notes the load that an answer of the server reports.
 /// @param total running and waiting requests, without the answered one.
 void record_load(known_server& server, double total, kernel::monotonic_time now);
