--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -6,14 +6,13 @@
 
 #include <cmath>
 
-namespace pistachiohub::kernel
+namespace pistachiohub::kernel::detail
 {
 
 namespace
 {
 
 namespace json = boost::json;
-using detail::settings_reader;
 using std::chrono::milliseconds;
 
 constexpr double longest_time_ms = 3'600'000;
@@ -80,8 +79,8 @@
     for (auto const& member : value.get_object())
     {
         auto const member_path = path + '.' + std::string(member.key());
-        if (!member.value().is_string() || !detail::is_name(member.value().get_string()))
-            throw settings_error(member_path, json::serialize(member.value()), detail::name_rule);
+        if (!member.value().is_string() || !is_name(member.value().get_string()))
+            throw settings_error(member_path, json::serialize(member.value()), name_rule);
         regions.emplace(member.key(), member.value().get_string());
     }
     return regions;
@@ -93,8 +92,8 @@
 {
     settings_reader reader(value, path);
     gateway_settings result;
-    result.interface_name = reader.text("interface", detail::name_rule, detail::is_name);
-    result.region = reader.text("region", detail::name_rule, detail::is_name);
+    result.interface_name = reader.text("interface", name_rule, is_name);
+    result.region = reader.text("region", name_rule, is_name);
     result.region_of_domain =
         read_domains(reader.require("failure_domains", "an object of failure domains"),
                      reader.key_path("failure_domains"));
@@ -111,4 +110,4 @@
     return result;
 }
 
-} // namespace pistachiohub::kernel
+} // namespace pistachiohub::kernel::detail
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -5,8 +5,6 @@
 
 #include "kernel/endpoint.hpp"
 
-#include <boost/json/fwd.hpp>
-
 #include <chrono>
 #include <map>
 #include <string>
@@ -71,9 +69,4 @@
     host_resources resources;
 };
 
-/// @param path path of the object from the root of the settings file.
-/// @throws settings_error naming the key, its value and what is permitted.
-[[nodiscard]] gateway_settings read_gateway_settings(boost::json::value const& value,
-                                                     std::string const& path);
-
 } // namespace pistachiohub::kernel
--- a/kernel/settings.cpp
+++ b/kernel/settings.cpp
@@ -89,7 +89,7 @@
     result.address = reader.text("address", detail::address_rule, detail::is_address);
     result.store = reader.required_endpoint("store");
     if (auto const* const gateway = reader.find("gateway"))
-        result.gateway = read_gateway_settings(*gateway, "gateway");
+        result.gateway = detail::read_gateway_settings(*gateway, "gateway");
     else
         read_request_interface(reader, result);
     result.lowest_log_level = read_log_level(reader);
--- a/kernel/settings_reader.hpp
+++ b/kernel/settings_reader.hpp
@@ -68,4 +68,10 @@
     std::vector<std::string> m_known;
 };
 
+/// Reads the settings of the gateway.
+/// @param path path of the object from the root of the settings file.
+/// @throws settings_error naming the key, its value and what is permitted.
+[[nodiscard]] gateway_settings read_gateway_settings(boost::json::value const& value,
+                                                     std::string const& path);
+
 } // namespace pistachiohub::kernel::detail
--- a/libraries/object_store/dialect.cpp
+++ b/libraries/object_store/dialect.cpp
@@ -111,12 +111,12 @@
 http::request make_write(std::string_view kind,
                          std::string_view name,
                          std::uint64_t expected_version,
-                         std::string value)
+                         std::string_view value)
 {
     return {"PUT",
             object_target(kind, name),
             {{"If-Match", std::to_string(expected_version)}},
-            std::move(value)};
+            std::string(value)};
 }
 
 http::request
--- a/libraries/object_store/dialect.hpp
+++ b/libraries/object_store/dialect.hpp
@@ -38,7 +38,7 @@
     http::request (*make_write)(std::string_view kind,
                                 std::string_view name,
                                 std::uint64_t expected_version,
-                                std::string value);
+                                std::string_view value);
     http::request (*make_remove)(std::string_view kind,
                                  std::string_view name,
                                  std::uint64_t expected_version);
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -120,9 +120,9 @@
 write_result client::write(std::string_view kind,
                            std::string_view name,
                            std::uint64_t expected_version,
-                           std::string value)
+                           std::string_view value)
 {
-    return change(m_dialect.make_write(kind, name, expected_version, std::move(value)));
+    return change(m_dialect.make_write(kind, name, expected_version, value));
 }
 
 write_result
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -66,7 +66,7 @@
     [[nodiscard]] write_result write(std::string_view kind,
                                      std::string_view name,
                                      std::uint64_t expected_version,
-                                     std::string value);
+                                     std::string_view value);
 
     /// Removes an object if it has `expected_version`.
     [[nodiscard]] write_result
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -114,10 +114,15 @@
     deliver(events::store_contact{m_kind, is_reachable});
 }
 
-void object_feed::deliver(events::gateway_event event)
+void object_feed::deliver(events::gateway_event const& event)
 {
-    while (!m_signal.is_stopping() && !m_gateway.try_push(std::move(event)))
+    while (!m_signal.is_stopping())
+    {
+        auto copy = event;
+        if (m_gateway.try_push(std::move(copy)))
+            return;
         m_signal.wait_until(kernel::monotonic_now() + delivery_retry);
+    }
 }
 
 } // namespace pistachiohub::discovery
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -40,7 +40,7 @@
     void poll();
     void handle_failure(object_store::status end);
     void report_contact(bool is_reachable, object_store::status end);
-    void deliver(events::gateway_event event);
+    void deliver(events::gateway_event const& event);
 
     kernel::daemon_context& m_context;
     std::string m_kind;
--- a/plugins/gateway/caller_gate.cpp
+++ b/plugins/gateway/caller_gate.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <unordered_map>
@@ -165,11 +166,14 @@
 
     void reply(request_pointer const& request, answer&& made)
     {
-        for (auto& waiting : m_exchanges)
-        {
-            if (waiting.request == request)
-                waiting.made = std::move(made);
-        }
+        auto const waiting = std::find_if(m_exchanges.begin(),
+                                          m_exchanges.end(),
+                                          [&request](exchange const& open)
+                                          {
+                                              return open.request == request;
+                                          });
+        if (waiting != m_exchanges.end())
+            waiting->made = std::move(made);
         write();
     }
 
--- a/plugins/store/store_writer.cpp
+++ b/plugins/store/store_writer.cpp
@@ -170,7 +170,7 @@
         if (!write)
             return;
         auto const result =
-            m_client.write(kind, m_object_name, write->expected_version, std::move(write->text));
+            m_client.write(kind, m_object_name, write->expected_version, write->text);
         count_call(kind, "write", result.end);
         state.on_write(result, kernel::monotonic_now(), random());
     }
--- /dev/null
+++ b/tests/gateway/dispatcher_test.cpp
@@ -0,0 +1,476 @@
+#include "plugins/gateway/dispatcher.hpp"
+
+#include "plugins/gateway/affinity.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using gateway::attempt_result;
+using std::chrono::milliseconds;
+
+struct delivered
+{
+    unsigned status = 0;
+    std::string body;
+    std::string retry_after;
+};
+
+class dispatcher_fixture
+{
+protected:
+    kernel::monotonic_time m_now{std::chrono::hours(1)};
+    kernel::metrics m_metrics;
+    std::vector<gateway::request_pointer> m_sent;
+    std::vector<gateway::request_pointer> m_cancelled;
+    std::map<std::uint64_t, delivered> m_replies;
+    double m_random = 0.5;
+    std::unique_ptr<gateway::dispatcher> m_dispatcher;
+    routing::routing_document m_document;
+    std::uint64_t m_last_number = 0;
+
+    dispatcher_fixture()
+    {
+        kernel::settings own;
+        own.name = "host-1";
+        own.failure_domain = "sve-a";
+        own.gateway.emplace();
+        own.gateway->region = "svealand";
+        own.gateway->region_of_domain = {
+            {"sve-a", "svealand"}, {"sve-b", "svealand"}, {"got-a", "gotaland"}};
+        own.gateway->bounds.extra_retries = 60;
+        gateway::dispatcher_actions actions;
+        actions.send = [this](gateway::request_pointer const& request, milliseconds)
+        {
+            m_sent.push_back(request);
+        };
+        actions.cancel = [this](gateway::request_pointer const& request)
+        {
+            m_cancelled.push_back(request);
+        };
+        actions.reply = [this](gateway::request_pointer const& request, gateway::answer&& made)
+        {
+            m_replies[request->number] = {
+                made.status,
+                made.body,
+                std::string(gateway::find_value(made.headers, "Retry-After"))};
+        };
+        actions.random = [this]()
+        {
+            return m_random;
+        };
+        m_dispatcher = std::make_unique<gateway::dispatcher>(own, std::move(actions), m_metrics);
+        fleet::entry_host host;
+        host.name = "host-1";
+        m_dispatcher->apply(
+            events::store_update<fleet::entry_host>{true, 1, {{host.name, 1, host}}}, m_now);
+        add_route("idempotent", "/i/", routing::request_kind::idempotent, "s");
+        add_route("once", "/o/", routing::request_kind::at_most_once, "s");
+        publish(1);
+    }
+
+    void add_route(std::string const& name,
+                   std::string const& prefix,
+                   routing::request_kind kind,
+                   std::string const& service)
+    {
+        routing::route route;
+        route.name = name;
+        route.host = "a.example";
+        route.path_prefix = prefix;
+        route.kind = kind;
+        route.timeout = milliseconds(1000);
+        route.target_latency = milliseconds(400);
+        route.most_attempts = 2;
+        route.split = {{service, 1}};
+        m_document.routes.push_back(route);
+    }
+
+    void publish(std::uint64_t version)
+    {
+        m_document.version = version;
+        if (m_document.services.empty())
+        {
+            routing::service service;
+            service.name = "s";
+            service.cold_requests_per_second = 5;
+            m_document.services.push_back(service);
+        }
+        m_dispatcher->apply(events::store_update<routing::routing_document>{
+            true, version, {{"main", version, m_document}}});
+    }
+
+    void add_server(std::string const& id,
+                    std::string const& domain = "sve-a",
+                    std::uint32_t slots = 1,
+                    milliseconds cold = milliseconds(0))
+    {
+        fleet::backend_server server;
+        server.id = id;
+        server.service = "s";
+        server.address = {"10.0.0.1", 80};
+        server.failure_domain = domain;
+        server.slots = slots;
+        server.cold_remaining = cold;
+        m_dispatcher->apply(
+            events::store_update<fleet::backend_server>{false, 1, {{id, 1, server}}}, m_now);
+        // Lets budgets of the fleet be computed.
+        m_now += milliseconds(300);
+        m_dispatcher->tick(m_now);
+    }
+
+    void remove_server(std::string const& id)
+    {
+        m_dispatcher->apply(
+            events::store_update<fleet::backend_server>{false, 2, {{id, 2, std::nullopt}}}, m_now);
+    }
+
+    gateway::request_pointer begin(std::string const& target,
+                                   std::string const& key = "",
+                                   milliseconds deadline = milliseconds(3000))
+    {
+        auto request = std::make_shared<gateway::gateway_request>();
+        request->number = ++m_last_number;
+        request->id = "id-" + std::to_string(request->number);
+        request->message = {"GET", target, {{"Host", "a.example"}}, ""};
+        if (!key.empty())
+            request->affinity_key = gateway::hash_text(key);
+        request->arrived_at = m_now;
+        request->caller_leaves_at = m_now + deadline;
+        m_dispatcher->begin(request, m_now);
+        return request;
+    }
+
+    void end(gateway::request_pointer const& request, attempt_result result, unsigned status = 200)
+    {
+        gateway::attempt_end ended;
+        ended.result = result;
+        ended.received.status = status;
+        ended.received.body = "of the server";
+        m_dispatcher->attempt_ended(request, std::move(ended), m_now);
+    }
+
+    [[nodiscard]] unsigned status_of(gateway::request_pointer const& request) const
+    {
+        auto const found = m_replies.find(request->number);
+        return found == m_replies.end() ? 0 : found->second.status;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_answer_is_delivered_unchanged", "[gateway]")
+{
+    add_server("i-1");
+    auto const request = begin("/o/1");
+    REQUIRE(m_sent.size() == 1);
+    end(request, attempt_result::answered, 201);
+    CHECK(status_of(request) == 201);
+    CHECK(m_replies[request->number].body == "of the server");
+    CHECK(m_dispatcher->open_requests() == 0);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_unknown_route_is_404_only_under_a_configuration",
+                 "[gateway]")
+{
+    add_server("i-1");
+    CHECK(status_of(begin("/unknown/")) == 404);
+    kernel::settings own;
+    own.gateway.emplace();
+    unsigned status = 0;
+    gateway::dispatcher_actions actions;
+    actions.reply = [&status](gateway::request_pointer const&, gateway::answer&& made)
+    {
+        status = made.status;
+    };
+    actions.random = []()
+    {
+        return 0.0;
+    };
+    gateway::dispatcher empty(own, std::move(actions), m_metrics);
+    auto request = std::make_shared<gateway::gateway_request>();
+    request->caller_leaves_at = m_now + std::chrono::seconds(1);
+    empty.begin(request, m_now);
+    CHECK(status == 503);
+}
+
+// The caller is told at once, with a time to come back: nothing would change while it waits.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_without_server_refuses_at_once", "[gateway]")
+{
+    auto const request = begin("/o/1");
+    CHECK(status_of(request) == 503);
+    CHECK_FALSE(m_replies[request->number].retry_after.empty());
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_broken_at_most_once_request_is_not_sent_again",
+                 "[gateway]")
+{
+    add_server("i-1");
+    add_server("i-2");
+    auto const request = begin("/o/1");
+    end(request, attempt_result::broken);
+    CHECK(m_sent.size() == 1);
+    CHECK(status_of(request) == 502);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_server_error_of_at_most_once_request_is_delivered",
+                 "[gateway]")
+{
+    add_server("i-1");
+    add_server("i-2");
+    auto const request = begin("/o/1");
+    end(request, attempt_result::answered, 500);
+    CHECK(m_sent.size() == 1);
+    CHECK(status_of(request) == 500);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_request_proven_not_started_goes_to_another_server",
+                 "[gateway]")
+{
+    add_server("i-1");
+    add_server("i-2");
+    auto const request = begin("/o/1");
+    auto const first = request->server;
+    end(request, attempt_result::not_started);
+    REQUIRE(m_sent.size() == 2);
+    CHECK(request->server != first);
+    end(request, attempt_result::answered);
+    CHECK(status_of(request) == 200);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_request_not_started_anywhere_is_refused_as_not_run",
+                 "[gateway]")
+{
+    add_server("i-1");
+    add_server("i-2");
+    auto const request = begin("/o/1");
+    end(request, attempt_result::not_started);
+    end(request, attempt_result::not_started);
+    CHECK(m_sent.size() == 2);
+    CHECK(status_of(request) == 503);
+}
+
+// A 503 promises that the request did not run in any send.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_request_that_may_have_run_is_never_refused_as_not_run",
+                 "[gateway]")
+{
+    add_server("i-1");
+    add_server("i-2");
+    auto const request = begin("/i/1");
+    end(request, attempt_result::broken);
+    REQUIRE(m_sent.size() == 2);
+    end(request, attempt_result::not_started);
+    CHECK(status_of(request) == 502);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_attempts_end_at_the_routes_limit", "[gateway]")
+{
+    for (int number = 1; number <= 5; ++number)
+        add_server("i-" + std::to_string(number));
+    auto const request = begin("/i/1");
+    end(request, attempt_result::broken);
+    end(request, attempt_result::broken);
+    CHECK(m_sent.size() == 2);
+    CHECK(status_of(request) == 502);
+}
+
+// A server that cannot be reached got nothing, so this is no attempt.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_request_that_never_left_is_sent_elsewhere",
+                 "[gateway]")
+{
+    for (int number = 1; number <= 4; ++number)
+        add_server("i-" + std::to_string(number));
+    auto const request = begin("/o/1");
+    end(request, attempt_result::never_sent);
+    end(request, attempt_result::never_sent);
+    end(request, attempt_result::never_sent);
+    REQUIRE(m_sent.size() == 4);
+    end(request, attempt_result::answered);
+    CHECK(status_of(request) == 200);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_timeout_of_a_running_request_promises_nothing",
+                 "[gateway]")
+{
+    add_server("i-1");
+    auto const request = begin("/o/1");
+    m_now += milliseconds(999);
+    m_dispatcher->tick(m_now);
+    CHECK(status_of(request) == 0);
+    m_now += milliseconds(1);
+    m_dispatcher->tick(m_now);
+    CHECK(status_of(request) == 504);
+    CHECK(m_cancelled.size() == 1);
+}
+
+// The caller must be able to read the answer before its own deadline.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_short_deadline_is_answered_before_the_caller_leaves",
+                 "[gateway]")
+{
+    add_server("i-1");
+    auto const request = begin("/o/1", "", milliseconds(200));
+    m_now += milliseconds(190);
+    m_dispatcher->tick(m_now);
+    CHECK(status_of(request) == 504);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_caller_that_leaves_ends_its_run", "[gateway]")
+{
+    add_server("i-1");
+    auto const running = begin("/o/1");
+    auto const waiting = begin("/o/2");
+    m_dispatcher->caller_gone(running, m_now);
+    CHECK(m_cancelled.size() == 1);
+    REQUIRE(m_sent.size() == 2);
+    CHECK(m_sent.back() == waiting);
+    m_dispatcher->caller_gone(waiting, m_now);
+    CHECK(m_dispatcher->open_requests() == 0);
+    CHECK(m_replies.empty());
+}
+
+// Load pattern: more requests than slots. The free slot goes to the most urgent request.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_free_slot_goes_to_the_highest_priority",
+                 "[gateway]")
+{
+    m_document.routes[0].priority = 2;
+    m_document.routes[1].priority = 0;
+    publish(2);
+    add_server("i-1");
+    auto const running = begin("/i/1");
+    auto const low = begin("/i/2");
+    auto const high = begin("/o/3");
+    REQUIRE(m_sent.size() == 1);
+    end(running, attempt_result::answered);
+    REQUIRE(m_sent.size() == 2);
+    CHECK(m_sent.back() == high);
+    CHECK(status_of(low) == 0);
+}
+
+// Load pattern: a burst far above the slots. A request that could only run late would take the slot
+// of one that is still in time, so it is refused when it arrives, not when its time is up.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_burst_above_the_slots_is_refused_on_arrival",
+                 "[gateway]")
+{
+    add_server("i-1");
+    auto const first = begin("/i/1");
+    m_now += milliseconds(150);
+    end(first, attempt_result::answered);
+    std::size_t refused = 0;
+    for (int number = 0; number < 20; ++number)
+        refused += status_of(begin("/i/x")) == 503 ? 1 : 0;
+    // One runs and one waits 150 ms of the 240 that its target latency leaves.
+    CHECK(refused == 18);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_waiting_request_is_refused_once_its_target_has_passed",
+                 "[gateway]")
+{
+    add_server("i-1");
+    static_cast<void>(begin("/i/1"));
+    auto const waiting = begin("/i/2");
+    m_now += milliseconds(400);
+    m_dispatcher->tick(m_now);
+    CHECK(status_of(waiting) == 503);
+    CHECK(m_sent.size() == 1);
+}
+
+// Load pattern: every object is asked for again and again. A request waits a moment for the servers
+// that know its object rather than make another one learn it.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_object_stays_with_two_servers", "[gateway]")
+{
+    m_document.routes[0].has_affinity = true;
+    publish(2);
+    for (int number = 1; number <= 6; ++number)
+        add_server("i-" + std::to_string(number));
+    auto const first = begin("/i/1", "object");
+    auto const second = begin("/i/2", "object");
+    auto const third = begin("/i/3", "object");
+    REQUIRE(m_sent.size() == 2);
+    CHECK(first->server != second->server);
+    end(second, attempt_result::answered);
+    REQUIRE(m_sent.size() == 3);
+    CHECK(third->server == second->server);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_server_that_leaves_loses_waiting_requests",
+                 "[gateway]")
+{
+    add_server("i-1");
+    auto const running = begin("/i/1");
+    auto const waiting = begin("/i/2");
+    remove_server("i-1");
+    CHECK(status_of(waiting) == 503);
+    end(running, attempt_result::answered);
+    CHECK(status_of(running) == 200);
+    CHECK(m_sent.size() == 1);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_cold_server_gets_its_share_only", "[gateway]")
+{
+    add_server("i-1", "sve-a", 100, milliseconds(5000));
+    // 5 a second tolerated, factor 1, no slack: 3 are usable, one of them in each half.
+    std::size_t sent = 0;
+    for (int number = 0; number < 20; ++number)
+    {
+        static_cast<void>(begin("/i/x"));
+        sent = m_sent.size();
+    }
+    CHECK(sent >= 1);
+    CHECK(sent <= 3);
+}
+
+// An older version that arrives late must not undo a newer one.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_older_configuration_is_ignored", "[gateway]")
+{
+    publish(5);
+    m_document.routes.clear();
+    publish(4);
+    CHECK(m_dispatcher->table()->document.version == 5);
+    CHECK(m_dispatcher->table()->document.routes.size() == 2);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_home_regions_bind", "[gateway]")
+{
+    m_document.routes[1].home_regions = {"gotaland"};
+    publish(2);
+    add_server("i-1", "sve-a");
+    CHECK(status_of(begin("/o/1")) == 503);
+    add_server("i-2", "got-a");
+    auto const request = begin("/o/2");
+    REQUIRE(m_sent.size() == 1);
+    CHECK(request->server->record.id == "i-2");
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_split_follows_the_weights", "[gateway]")
+{
+    m_document.routes[0].split = {{"s", 3}, {"other", 1}};
+    publish(2);
+    add_server("i-1", "sve-a", 100);
+    int elsewhere = 0;
+    for (int number = 0; number < 40; ++number)
+        elsewhere += status_of(begin("/i/x")) == 503 ? 1 : 0;
+    // No server of the other service exists; its part is refused, not moved.
+    CHECK(elsewhere == 10);
+    CHECK(m_sent.size() == 30);
+}
+
+} // namespace pistachiohub
--- /dev/null
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -0,0 +1,401 @@
+#include "kernel/plugin.hpp"
+#include "kernel/snapshot.hpp"
+#include "libraries/events/gateway_event.hpp"
+#include "tests/support/duty_fixture.hpp"
+#include "tests/support/raw_connection.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using support::raw_connection;
+
+std::uint16_t free_port()
+{
+    return support::raw_listener().port();
+}
+
+kernel::settings make_gateway_settings()
+{
+    kernel::settings own;
+    own.name = "host-1";
+    own.failure_domain = "sve-a";
+    own.address = "127.0.0.1";
+    own.gateway.emplace();
+    auto& gateway = *own.gateway;
+    gateway.interface_name = "platform";
+    gateway.region = "svealand";
+    gateway.region_of_domain = {{"sve-a", "svealand"}};
+    for (auto* const own_endpoint :
+         {&gateway.callers, &gateway.readiness, &gateway.directory, &gateway.metrics})
+        *own_endpoint = {"127.0.0.1", free_port()};
+    gateway.bounds.extra_retries = 60;
+    gateway.bounds.shutdown_grace = milliseconds(1500);
+    return own;
+}
+
+std::unique_ptr<kernel::duty> create_gateway(kernel::daemon_context& context)
+{
+    for (auto const& registered : kernel::registered_plugins())
+    {
+        if (registered.name == "gateway")
+            return registered.create(context);
+    }
+    return nullptr;
+}
+
+std::string answer_to(std::string const& id, std::string const& body, std::string const& more = "")
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: sig-" + id +
+           "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string get(std::string const& id, std::string const& more = "")
+{
+    return "GET /i/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\n" + more + "\r\n";
+}
+
+std::string post(std::string const& id, std::string const& body)
+{
+    return "POST /o/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// A gateway without a store, with one scripted backend server.
+class gateway_fixture
+{
+protected:
+    kernel::settings m_settings = make_gateway_settings();
+    kernel::daemon_context m_context{m_settings, 1};
+    kernel::mailbox<events::gateway_event>& m_events =
+        m_context.shared<kernel::mailbox<events::gateway_event>>();
+    support::raw_listener m_server;
+    std::unique_ptr<kernel::duty> m_gateway;
+    std::unique_ptr<support::running_duty> m_running;
+
+    gateway_fixture()
+    {
+        routing::routing_document document;
+        document.version = 1;
+        document.limits.header_bytes = 4096;
+        document.limits.body_bytes = 100000;
+        add_route(document, "/i/", routing::request_kind::idempotent);
+        add_route(document, "/o/", routing::request_kind::at_most_once);
+        push(events::store_update<routing::routing_document>{true, 1, {{"main", 1, document}}});
+        push(events::store_update<fleet::entry_host>{true, 1, {}});
+        add_server("i-1", m_server);
+        m_gateway = create_gateway(m_context);
+        REQUIRE(m_gateway);
+        m_running = std::make_unique<support::running_duty>(*m_gateway);
+    }
+
+    static void add_route(routing::routing_document& document,
+                          std::string const& prefix,
+                          routing::request_kind kind)
+    {
+        routing::route route;
+        route.name = "route" + prefix;
+        route.host = "a.example";
+        route.path_prefix = prefix;
+        route.kind = kind;
+        route.timeout = milliseconds(2000);
+        route.target_latency = milliseconds(1000);
+        route.most_attempts = 2;
+        route.split = {{"s", 1}};
+        document.routes.push_back(route);
+    }
+
+    void add_server(std::string const& id, support::raw_listener const& listener)
+    {
+        fleet::backend_server server;
+        server.id = id;
+        server.service = "s";
+        server.address = {"127.0.0.1", listener.port()};
+        server.failure_domain = "sve-a";
+        server.slots = 8;
+        push(events::store_update<fleet::backend_server>{true, 1, {{id, 1, server}}});
+    }
+
+    void push(events::gateway_event event)
+    {
+        bool const is_pushed = m_events.try_push(std::move(event));
+        REQUIRE(is_pushed);
+    }
+
+    [[nodiscard]] raw_connection connect() const
+    {
+        return support::connect_to(m_settings.gateway->callers.port);
+    }
+
+    [[nodiscard]] static std::string fetch(std::uint16_t port, std::string const& target)
+    {
+        auto connection = support::connect_to(port);
+        connection.send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        return connection.receive_message();
+    }
+};
+
+bool has_status(std::string const& message, std::string const& status)
+{
+    return message.starts_with("HTTP/1.1 " + status + ' ');
+}
+
+} // namespace
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_request_and_answer_pass_unchanged",
+                 "[gateway][concurrent]")
+{
+    auto caller = connect();
+    caller.send(post("a", "the body"));
+    auto server = m_server.accept();
+    auto const request = server.receive_message();
+    CHECK(request.starts_with("POST /o/a HTTP/1.1\r\n"));
+    CHECK(request.find("X-Target-Instance: i-1\r\n") != std::string::npos);
+    CHECK(request.ends_with("\r\n\r\nthe body"));
+    server.send(answer_to("a", "bytes"));
+    auto const answer = caller.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.find("X-Response-Signature: sig-a\r\n") != std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\nbytes"));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_chunked_body_reaches_the_server_whole", "[gateway]")
+{
+    auto caller = connect();
+    caller.send("POST /o/a HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n4\r\nthe \r\n4\r\nbody\r\n0\r\n\r\n");
+    auto server = m_server.accept();
+    auto const request = server.receive_message();
+    CHECK(request.ends_with("\r\n\r\nthe body"));
+    CHECK(request.find("Content-Length: 8\r\n") != std::string::npos);
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_pipelined_answers_keep_the_order_of_requests",
+                 "[gateway][concurrent]")
+{
+    auto caller = connect();
+    caller.send(get("a") + get("b"));
+    auto one = m_server.accept();
+    auto two = m_server.accept();
+    auto const first = one.receive_message();
+    CHECK_FALSE(two.receive_message().empty());
+    bool const one_has_a = first.starts_with("GET /i/a ");
+    auto& with_a = one_has_a ? one : two;
+    auto& with_b = one_has_a ? two : one;
+    with_b.send(answer_to("b", "second"));
+    with_a.send(answer_to("a", "first"));
+    CHECK(caller.receive_message().ends_with("first"));
+    CHECK(caller.receive_message().ends_with("second"));
+}
+
+// The session of a caller that sends "Connection: close" was dropped while its request ran.
+TEST_CASE_METHOD(gateway_fixture, "gateway_last_request_of_a_connection_is_answered", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("a", "Connection: close\r\n"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "bytes"));
+    auto const answer = caller.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(caller.is_closed_by_peer());
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_caller_that_leaves_ends_the_run", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("a"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    caller.close();
+    CHECK(server.is_closed_by_peer());
+}
+
+// An answer that ends early must not look complete.
+TEST_CASE_METHOD(gateway_fixture, "gateway_cut_answer_is_not_completed", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n"
+                "Content-Length: 10\r\n\r\nhalf");
+    server.close();
+    CHECK(has_status(caller.receive_message(), "502"));
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_answer_that_ends_with_its_connection_is_whole",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n\r\nall of it");
+    server.close();
+    auto const answer = caller.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.ends_with("\r\n\r\nall of it"));
+}
+
+// A late answer to an earlier request must reach nobody, and its connection must not be used again.
+TEST_CASE_METHOD(gateway_fixture, "gateway_answer_to_another_request_is_skipped", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("older", "wrong") + answer_to("a", "right"));
+    CHECK(caller.receive_message().ends_with("right"));
+    caller.send(post("c", "d"));
+    auto next = m_server.accept();
+    CHECK_FALSE(next.receive_message().empty());
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_connection_with_extra_bytes_is_not_used_again",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "right") + "garbage");
+    CHECK(caller.receive_message().ends_with("right"));
+    caller.send(post("c", "d"));
+    auto next = m_server.accept();
+    CHECK_FALSE(next.receive_message().empty());
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_bytes_that_are_no_answer_end_the_request", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("not an answer\r\n\r\n");
+    CHECK(has_status(caller.receive_message(), "502"));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_connection_is_used_again", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "one"));
+    CHECK(caller.receive_message().ends_with("one"));
+    caller.send(post("c", "d"));
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("c", "two"));
+    CHECK(caller.receive_message().ends_with("two"));
+}
+
+// Two lengths would let a backend server see a second request that its caller did not send.
+TEST_CASE_METHOD(gateway_fixture, "gateway_smuggled_request_is_refused", "[gateway]")
+{
+    auto const bad = GENERATE(std::string("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+                              std::string("Content-Length: 4\r\nContent-Length: 5\r\n"),
+                              std::string("Content-Length: -1\r\n"),
+                              std::string("Content-Length: 4x\r\n"));
+    auto caller = connect();
+    caller.send("POST /o/a HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a\r\n" + bad +
+                "\r\n0\r\n\r\nGET /i/evil HTTP/1.1\r\n\r\n");
+    CHECK(has_status(caller.receive_message(), "400"));
+    CHECK(caller.is_closed_by_peer());
+    CHECK_FALSE(m_server.has_connection(50));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_oversize_request_is_refused", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("a", "X-Long: " + std::string(5000, 'x') + "\r\n"));
+    CHECK(has_status(caller.receive_message(), "431"));
+    auto other = connect();
+    other.send("POST /o/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100001\r\n\r\n");
+    CHECK(has_status(other.receive_message(), "413"));
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_caller_that_waits_to_send_its_body_is_told_to",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send("POST /o/a HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a\r\n"
+                "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    CHECK(has_status(caller.receive_message(), "100"));
+    caller.send("body");
+    auto server = m_server.accept();
+    CHECK(server.receive_message().ends_with("\r\n\r\nbody"));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_directory_names_this_host_until_it_drains", "[gateway]")
+{
+    auto const& gateway = *m_settings.gateway;
+    auto const target = "/pistachiohub/resolve?name=a.example&region=svealand&zone=sve-a";
+    CHECK(fetch(gateway.directory.port, target).find(to_string(gateway.callers)) !=
+          std::string::npos);
+    CHECK(has_status(fetch(gateway.directory.port, "/other"), "404"));
+    CHECK(has_status(fetch(gateway.readiness.port, "/pistachiohub/ready"), "200"));
+    m_context.begin_drain();
+    CHECK(support::eventually(
+        [&gateway]()
+        {
+            return has_status(fetch(gateway.readiness.port, "/pistachiohub/ready"), "503");
+        }));
+    CHECK(has_status(fetch(gateway.directory.port, target), "503"));
+}
+
+// A graceful shutdown cuts no request in flight.
+TEST_CASE_METHOD(gateway_fixture, "gateway_drain_finishes_open_requests", "[gateway][concurrent]")
+{
+    auto caller = connect();
+    caller.send(get("a"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    auto idle = connect();
+    idle.send("GET /unknown HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    REQUIRE(has_status(idle.receive_message(), "404"));
+    m_context.begin_drain();
+    CHECK(idle.is_closed_by_peer());
+    auto late = connect();
+    late.send(get("b"));
+    auto second = m_server.accept();
+    REQUIRE_FALSE(second.receive_message().empty());
+    second.send(answer_to("b", "late"));
+    CHECK(late.receive_message().ends_with("late"));
+    CHECK_FALSE(m_context.is_drained());
+    server.send(answer_to("a", "bytes"));
+    auto const answer = caller.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(support::eventually(
+        [this]()
+        {
+            return m_context.is_drained();
+        }));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_metrics_count_requests", "[gateway]")
+{
+    auto caller = connect();
+    caller.send("GET /unknown HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    CHECK(has_status(caller.receive_message(), "404"));
+    auto const text = fetch(m_settings.gateway->metrics.port, "/metrics");
+    CHECK(text.find("pistachiohub_gateway_requests_total{outcome=\"no_route\"} 1") !=
+          std::string::npos);
+    CHECK(text.find("pistachiohub_gateway_request_seconds_bucket") != std::string::npos);
+}
+
+} // namespace pistachiohub
