--- a/tests/operations_page_test.py
+++ b/tests/operations_page_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Runs each command that docs/operations.md prints, in the page's order, against one daemon.
+"""Runs each command that docs/OPERATIONS.md prints, in the page's order, against one daemon.
 
 Guards against pages whose commands or options no longer exist."""
 
@@ -24,7 +24,7 @@
 
 def read_commands():
     commands, is_shell = [], False
-    for line in (ROOT / "docs" / "operations.md").read_text().splitlines():
+    for line in (ROOT / "docs" / "OPERATIONS.md").read_text().splitlines():
         if line.startswith("```"):
             is_shell = line == "```sh"
         elif is_shell:
