gateway: Keep idle connections open while the daemon drains

Cause: the new demo of the platform's wire (store, backend servers and callers as stand-ins) saw two requests cut by a daemon that drained: it closed idle connections at once, and requests that crossed the close were read and dropped. Ruled out: requests in flight (all were answered). Now each connection closes with its next answer, and idle ones at the end of the time in which callers may still hold an old directory answer. Found beside it: the fixture of the wire tests could choose one port twice (a bind failed once in six runs); it takes ports outside the ephemeral range now.

--- a/plugins/gateway/caller_gate.cpp
+++ b/plugins/gateway/caller_gate.cpp
@@ -109,6 +109,8 @@
     void listen(kernel::endpoint const& own);
     void accept();
     void sweep();
+    /// Holds the sessions, since closing one may destroy it and change the set.
+    [[nodiscard]] std::vector<std::shared_ptr<session>> open_sessions() const;
     void count_closed(std::string_view cause) const;
 
     kernel::event_loop& loop;
@@ -182,7 +184,7 @@
         return !m_exchanges.empty() || m_is_writing;
     }
 
-    void drain()
+    void close_if_idle()
     {
         if (!is_busy() && !m_is_last && !has_partial_request())
             linger();
@@ -475,13 +477,17 @@
 void caller_gate::implementation::sweep()
 {
     auto const now = kernel::monotonic_now();
-    // Closing a session may destroy it and change the set.
+    for (auto const& one : open_sessions())
+        one->close_if_overdue(now);
+}
+
+std::vector<std::shared_ptr<session>> caller_gate::implementation::open_sessions() const
+{
     std::vector<std::shared_ptr<session>> open;
     open.reserve(sessions.size());
     for (auto* const one : sessions)
         open.push_back(one->shared_from_this());
-    for (auto const& one : open)
-        one->close_if_overdue(now);
+    return open;
 }
 
 void caller_gate::implementation::count_closed(std::string_view cause) const
@@ -511,7 +517,8 @@
 
 caller_gate::~caller_gate()
 {
-    stop_accepting();
+    error_code ignored;
+    m_implementation->acceptor.close(ignored);
 }
 
 void caller_gate::set_limits(routing::caller_limits const& limits)
@@ -532,17 +539,14 @@
 void caller_gate::drain()
 {
     m_implementation->is_draining = true;
-    std::vector<std::shared_ptr<session>> open;
-    for (auto* const one : m_implementation->sessions)
-        open.push_back(one->shared_from_this());
-    for (auto const& one : open)
-        one->drain();
 }
 
 void caller_gate::stop_accepting()
 {
     error_code ignored;
     m_implementation->acceptor.close(ignored);
+    for (auto const& one : m_implementation->open_sessions())
+        one->close_if_idle();
 }
 
 std::size_t caller_gate::busy_connections() const
--- a/plugins/gateway/caller_gate.hpp
+++ b/plugins/gateway/caller_gate.hpp
@@ -48,9 +48,11 @@
     /// Gives a request its answer.
     void reply(request_pointer const& request, answer&& made);
 
-    /// Closes idle connections, and every other one with its last answer. New callers are accepted
-    /// until stop_accepting().
+    /// Closes each connection with its next answer. Idle ones stay open, because a request may be
+    /// on its way; new callers are accepted too.
     void drain();
+
+    /// Accepts no further callers and closes idle connections.
     void stop_accepting();
 
     /// @returns connections with requests or answers on their way.
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -226,7 +226,6 @@
                      [this]()
                      {
                          m_gate.stop_accepting();
-                         m_gate.drain();
                          finish_drain_when_idle();
                      });
         m_loop.after(std::max<kernel::duration>(grace - shutdown_margin, accepting),
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 namespace pistachiohub
 {
 
@@ -15,9 +17,15 @@
 using std::chrono::milliseconds;
 using support::raw_connection;
 
-std::uint16_t free_port()
+// Ports below the range of ephemeral ones, so that no connection takes them, and other ones in each
+// process, so that tests run beside each other.
+std::uint16_t own_port(int number)
 {
-    return support::raw_listener().port();
+    constexpr int first_port = 20000;
+    constexpr int ports_of_process = 4;
+    constexpr int processes = 2500;
+    return static_cast<std::uint16_t>(first_port + ::getpid() % processes * ports_of_process +
+                                      number);
 }
 
 kernel::settings make_gateway_settings()
@@ -31,9 +39,10 @@
     gateway.interface_name = "platform";
     gateway.region = "svealand";
     gateway.region_of_domain = {{"sve-a", "svealand"}};
+    int number = 0;
     for (auto* const own_endpoint :
          {&gateway.callers, &gateway.readiness, &gateway.directory, &gateway.metrics})
-        *own_endpoint = {"127.0.0.1", free_port()};
+        *own_endpoint = {"127.0.0.1", own_port(number++)};
     gateway.bounds.extra_retries = 60;
     gateway.bounds.shutdown_grace = milliseconds(1500);
     return own;
@@ -368,7 +377,11 @@
     idle.send("GET /unknown HTTP/1.1\r\nHost: a.example\r\n\r\n");
     REQUIRE(has_status(idle.receive_message(), "404"));
     m_context.begin_drain();
+    // Its caller may be about to send: a close now would cross the request.
+    idle.send("GET /unknown HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    CHECK(idle.receive_message().find("Connection: close\r\n") != std::string::npos);
     CHECK(idle.is_closed_by_peer());
+    auto unused = connect();
     auto late = connect();
     late.send(get("b"));
     auto second = m_server.accept();
@@ -385,6 +398,7 @@
         {
             return m_context.is_drained();
         }));
+    CHECK(unused.is_closed_by_peer());
 }
 
 TEST_CASE_METHOD(gateway_fixture, "gateway_metrics_count_requests", "[gateway]")
--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -41,4 +41,7 @@
   add_demo_test(crashing_request 31400 --fault crashing-request --seconds 2)
   add_demo_test(rolling 31600 --fault rolling --seconds 2)
   add_demo_test(burst 31800 --fault burst --seconds 2)
+  add_test(NAME demo_platform
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --base-port 32400)
+  set_tests_properties(demo_platform PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
 endif()
