gateway: Use servers missing after an outage only when there are no others

Cause: a daemon that was cut off from the store kept servers whose entries had gone for 2.2 s after its return, as it cannot tell a lapsed entry from a server that left. Ruled out: the watch and the 410 (the list came 0.2 s after the cut). Test: dispatcher_server_missing_after_an_outage_is_the_last_choice.

--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -15,13 +15,13 @@
 
 // A store that answers in milliseconds is far past its usual time by then.
 constexpr auto read_timeout = milliseconds(1500);
-constexpr auto connect_timeout = milliseconds(1000);
+constexpr auto connect_timeout = milliseconds(700);
 // Pauses between failed calls. They stay short, because changes must be in force within seconds of
 // the store's return.
 constexpr auto shortest_pause = milliseconds(100);
-constexpr auto longest_pause = milliseconds(1000);
+constexpr auto longest_pause = milliseconds(500);
 constexpr auto delivery_retry = milliseconds(10);
-constexpr unsigned most_doublings = 4;
+constexpr unsigned most_doublings = 3;
 
 http::client_limits make_limits()
 {
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -33,14 +33,28 @@
            request.tried.end();
 }
 
+// Servers that are missing from the store since it was away may have left meanwhile.
+bool has_present_server(server_table const& table, gateway_request const& request)
+{
+    auto const servers = servers_of(table, request.service);
+    return std::any_of(servers.begin(),
+                       servers.end(),
+                       [&](server_pointer const& server)
+                       {
+                           return is_usable(table, *server) && may_run_at(request, *server) &&
+                                  !server->missing_since;
+                       });
+}
+
 tiers collect(server_table const& table, gateway_request const& request, kernel::monotonic_time now)
 {
     tiers result;
     tiers avoided;
+    bool const skips_missing = has_present_server(table, request);
     for (auto const& server : servers_of(table, request.service))
     {
         if (!is_usable(table, *server) || !may_run_at(request, *server) ||
-            was_tried(request, *server))
+            was_tried(request, *server) || (skips_missing && server->missing_since))
             continue;
         auto& own = result[static_cast<std::size_t>(server->how_far)];
         // Servers that failed just now are left out as long as there are others.
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -438,6 +438,22 @@
     CHECK(sent <= 3);
 }
 
+// A daemon that was cut off cannot tell whether an entry lapsed or its server left meanwhile. The
+// server gets requests only when there is no other.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_server_missing_after_an_outage_is_the_last_choice",
+                 "[gateway]")
+{
+    add_server("i-1", "sve-a", 10);
+    add_server("i-2", "got-a", 10);
+    m_dispatcher->apply_server_contact(false, m_now);
+    m_dispatcher->apply_server_contact(true, m_now);
+    remove_server("i-1");
+    CHECK(begin("/i/1")->server->record.id == "i-2");
+    remove_server("i-2");
+    CHECK(begin("/i/2")->server->record.id == "i-1");
+}
+
 // An older version that arrives late must not undo a newer one.
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_older_configuration_is_ignored", "[gateway]")
 {
