gateway: Move objects between distances by weights of one rendezvous

Now one rendezvous ranks all servers, with weights by distance. At the floor of a part all daemons agree on one server for each object. Objects return at a fifth of the speed at which they leave. Ruled out: lack of slots (load was below the slots), the store, processor time.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -146,22 +146,29 @@
                           {{"server", std::string_view(id)}, {"cause", cause}});
 }
 
+void dispatcher::log_added(std::string const& id)
+{
+    auto const found = m_servers.servers.find(id);
+    // One update may hold the removal too.
+    if (found == m_servers.servers.end())
+        return;
+    auto const& server = *found->second;
+    kernel::log_event(kernel::log_level::info,
+                      "gateway",
+                      "server_added",
+                      {{"server", std::string_view(id)},
+                       {"service", std::string_view(server.record.service)},
+                       {"failure_domain", std::string_view(server.record.failure_domain)},
+                       {"version", server.version},
+                       {"cold_ms", server.record.cold_remaining.count()}});
+}
+
 void dispatcher::apply(events::store_update<fleet::backend_server> const& update,
                        kernel::monotonic_time now)
 {
     auto const change = gateway::apply(m_servers, update, now);
     for (auto const& id : change.added)
-    {
-        auto const& server = *m_servers.servers.at(id);
-        kernel::log_event(kernel::log_level::info,
-                          "gateway",
-                          "server_added",
-                          {{"server", std::string_view(id)},
-                           {"service", std::string_view(server.record.service)},
-                           {"failure_domain", std::string_view(server.record.failure_domain)},
-                           {"version", server.version},
-                           {"cold_ms", server.record.cold_remaining.count()}});
-    }
+        log_added(id);
     log_lost(change.lost, "store");
     tick(now);
 }
@@ -264,7 +271,7 @@
     choice_input input;
     input.position =
         request->affinity_key ? position_of_key(*request->affinity_key) : m_actions.random();
-    input.spill = &state.spill;
+    input.spill = state.spill;
     input.may_leave_affinity = waited > patience_for_affinity * target;
     input.may_leave_domain = request->sends > 0 || waited > patience_for_domain * target;
     input.may_leave_region =
@@ -285,8 +292,8 @@
     set_waiting(*request, chosen.server ? nullptr : chosen.preferred);
     if (!chosen.server)
         return false;
-    bool const is_far = chosen.server->how_far == distance::other_region;
-    if (is_far && input.position < state.spill.region_part)
+    // A send to another region for want of room, and not because its object lives there.
+    if (input.may_leave_region && chosen.server->how_far == distance::other_region)
         state.far_sends = std::max(0.0, state.far_sends - 1);
     request->server = std::move(chosen.server);
     send(request, now);
@@ -578,7 +585,9 @@
     smooth(state.used.own_domain, sums[0].slots > 0 ? sums[0].share() : std::optional<double>());
     smooth(state.used.own_region, sums[1].share());
     smooth(state.used.everywhere, sums[2].share());
-    update_spill(state.spill, state.used, m_bounds.shift, now);
+    slot_counts const slots{
+        sums[0].slots, sums[1].slots - sums[0].slots, sums[2].slots - sums[1].slots};
+    update_spill(state.spill, state.used, slots, m_bounds.shift, now);
 }
 
 kernel::monotonic_time dispatcher::next_tick(kernel::monotonic_time now) const
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -136,6 +136,7 @@
                             service_state& state,
                             kernel::monotonic_time now);
     void end_overdue(kernel::monotonic_time now);
+    void log_added(std::string const& id);
     void log_lost(std::vector<std::string> const& ids, std::string_view cause);
     [[nodiscard]] bool may_send_cold(known_server& server, kernel::monotonic_time now);
 
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -72,21 +72,22 @@
     return result;
 }
 
+std::size_t nearest_distance(tiers const& found)
+{
+    std::size_t nearest = 0;
+    while (nearest < distances && found[nearest].servers.empty())
+        ++nearest;
+    return nearest;
+}
+
 std::size_t first_distance(tiers const& found, choice_input const& input)
 {
     std::size_t wanted = 0;
-    if (input.spill != nullptr && input.position >= input.spill->region_part)
+    if (input.position >= input.spill.region_part)
         wanted = 2;
-    else if (input.spill != nullptr && input.position >= input.spill->domain_part)
+    else if (input.position >= input.spill.domain_part)
         wanted = 1;
-    if (!found[wanted].servers.empty())
-        return wanted;
-    for (std::size_t nearest = 0; nearest < distances; ++nearest)
-    {
-        if (!found[nearest].servers.empty())
-            return nearest;
-    }
-    return distances;
+    return found[wanted].servers.empty() ? nearest_distance(found) : wanted;
 }
 
 bool can_take(known_server& server,
@@ -118,49 +119,79 @@
     return nullptr;
 }
 
-/// What was found at one distance.
-struct found_server
+bool may_move(distance from, distance to, choice_input const& input)
 {
-    server_pointer chosen;
-    /// The first server of the object, or any for requests without one.
-    server_pointer preferred;
-};
+    if (from == to)
+        return true;
+    bool const changes_region = (from == distance::other_region) != (to == distance::other_region);
+    return changes_region ? input.may_leave_region : input.may_leave_domain;
+}
 
-found_server choose_in(tier const& among,
-                       gateway_request const& request,
-                       choice_input const& input,
-                       std::function<bool(known_server&)> const& may_send_cold)
+// Returns the servers of an object, the first one first. Each slot counts by its distance.
+std::vector<server_pointer>
+rank(tiers const& found, gateway_request const& request, spill_state const& spill)
 {
-    found_server found;
-    if (!request.affinity_key)
+    std::array<double, distances> slots{};
+    for (std::size_t position = 0; position < distances; ++position)
     {
-        found.chosen = least_loaded(among, input, may_send_cold);
-        found.preferred = found.chosen ? found.chosen : among.servers.front();
-        return found;
+        for (auto const& server : found[position].servers)
+            slots[position] += server->record.slots;
     }
-    auto const ranked =
-        rank_by_affinity(*request.affinity_key, among.candidates, servers_of_object);
-    found.preferred = among.servers[ranked.front()];
-    for (auto const position : ranked)
+    auto const weights = weights_of(spill, {slots[0], slots[1], slots[2]});
+    std::array<double, distances> const weight_of{
+        weights.own_domain, weights.own_region, weights.other_regions};
+    std::vector<server_pointer> servers;
+    std::vector<affinity_candidate> candidates;
+    for (std::size_t position = 0; position < distances; ++position)
     {
-        if (can_take(*among.servers[position], input, may_send_cold))
+        if (weight_of[position] <= 0)
+            continue;
+        for (std::size_t member = 0; member < found[position].servers.size(); ++member)
         {
-            found.chosen = among.servers[position];
-            return found;
+            servers.push_back(found[position].servers[member]);
+            candidates.push_back(found[position].candidates[member]);
+            candidates.back().weight *= weight_of[position];
         }
     }
-    if (input.may_leave_affinity)
-        found.chosen = least_loaded(among, input, may_send_cold);
-    return found;
+    std::vector<server_pointer> ranked;
+    for (auto const position :
+         rank_by_affinity(*request.affinity_key, candidates, servers_of_object))
+        ranked.push_back(servers[position]);
+    return ranked;
 }
 
-bool may_try(std::size_t candidate, std::size_t first, choice_input const& input)
+choice choose_by_object(tiers const& found,
+                        gateway_request const& request,
+                        choice_input const& input,
+                        std::function<bool(known_server&)> const& may_send_cold)
 {
-    if (candidate == first)
-        return true;
-    constexpr auto far = static_cast<std::size_t>(distance::other_region);
-    bool const changes_region = (candidate == far) != (first == far);
-    return changes_region ? input.may_leave_region : input.may_leave_domain;
+    auto const ranked = rank(found, request, input.spill);
+    auto const& first = ranked.front();
+    for (auto const& server : ranked)
+    {
+        if (may_move(first->how_far, server->how_far, input) &&
+            can_take(*server, input, may_send_cold))
+            return {server, choice_failure::none, nullptr};
+    }
+    return {nullptr, choice_failure::no_room, first};
+}
+
+// Takes the least loaded server, at the first distance if it has one.
+choice choose_by_load(tiers const& found,
+                      std::size_t first,
+                      choice_input const& input,
+                      std::function<bool(known_server&)> const& may_send_cold)
+{
+    std::array<std::size_t, distances + 1> const order{first, 0, 1, 2};
+    for (auto const candidate : order)
+    {
+        if (found[candidate].servers.empty() ||
+            !may_move(static_cast<distance>(first), static_cast<distance>(candidate), input))
+            continue;
+        if (auto server = least_loaded(found[candidate], input, may_send_cold))
+            return {std::move(server), choice_failure::none, nullptr};
+    }
+    return {nullptr, choice_failure::no_room, found[first].servers.front()};
 }
 
 } // namespace
@@ -170,23 +201,17 @@
                      choice_input const& input,
                      std::function<bool(known_server&)> const& may_send_cold)
 {
-    auto found = collect(table, request, input.now);
-    auto const first = first_distance(found, input);
-    if (first == distances)
+    auto const found = collect(table, request, input.now);
+    if (nearest_distance(found) == distances)
         return {nullptr, choice_failure::no_server, nullptr};
-    choice result{nullptr, choice_failure::no_room, nullptr};
-    std::array<std::size_t, distances + 1> const order{first, 0, 1, 2};
-    for (auto const candidate : order)
-    {
-        if (found[candidate].servers.empty() || !may_try(candidate, first, input))
-            continue;
-        auto taken = choose_in(found[candidate], request, input, may_send_cold);
-        if (!result.preferred)
-            result.preferred = taken.preferred;
-        if (taken.chosen)
-            return {std::move(taken.chosen), choice_failure::none, nullptr};
-    }
-    return result;
+    if (!request.affinity_key)
+        return choose_by_load(found, first_distance(found, input), input, may_send_cold);
+    auto chosen = choose_by_object(found, request, input, may_send_cold);
+    if (chosen.server || !input.may_leave_affinity)
+        return chosen;
+    auto const first = static_cast<std::size_t>(chosen.preferred->how_far);
+    auto any = choose_by_load(found, first, input, may_send_cold);
+    return any.server ? any : chosen;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -15,9 +15,9 @@
 /// What one choice depends on beside the servers.
 struct choice_input
 {
-    /// Position in `[0, 1)` that decides the distance at which the request starts.
+    /// Position in `[0, 1)` that decides the distance at which a request without a key starts.
     double position = 0;
-    spill_state const* spill = nullptr;
+    spill_state spill;
     /// Whether a server at another distance may be taken when there is no room.
     bool may_leave_region = false;
     bool may_leave_domain = false;
--- a/plugins/gateway/spill.hpp
+++ b/plugins/gateway/spill.hpp
@@ -23,8 +23,18 @@
     std::optional<double> everywhere;
 };
 
-/// Parts of the objects of one service. Positions of keys below `domain_part` stay in the own
-/// failure domain, those below `region_part` in the own region.
+/// Slots of one service.
+struct slot_counts
+{
+    double own_domain = 0;
+    /// In the other failure domains of the own region.
+    double own_region = 0;
+    double other_regions = 0;
+};
+
+/// Parts of the objects of one service that stay in the own failure domain, and in the own region.
+/// They do not fall below the own share of the slots: there all daemons agree on one server for
+/// each object, and moving more would only fill the caches of others.
 struct spill_state
 {
     double domain_part = 1;
@@ -33,10 +43,18 @@
     bool is_started = false;
 };
 
+/// Weights of a slot by distance for rendezvous hashing.
+struct slot_weights
+{
+    double own_domain = 1;
+    double own_region = 0;
+    double other_regions = 0;
+};
+
 /// Utilisation above which objects leave, because waits grow faster than the use of the slots.
 inline constexpr double crowded_utilisation = 0.8;
-/// Utilisation below which objects return.
-inline constexpr double calm_utilisation = 0.6;
+/// Utilisation below which objects return. Returning objects are cold at home, so the gap is wide.
+inline constexpr double calm_utilisation = 0.4;
 /// Share of the permitted change that the region's part uses. The rest is left for requests that
 /// move for other reasons.
 inline constexpr double share_of_shift = 0.5;
@@ -44,6 +62,8 @@
 inline constexpr std::chrono::duration<double> shift_window{2};
 /// Largest change of the domain's part in a second; moves inside a region are not bounded.
 inline constexpr double domain_change_per_second = 0.2;
+/// Speed at which objects return, as a part of the speed at which they leave.
+inline constexpr double return_speed = 0.2;
 
 /// Moves the parts by what is seen now.
 ///
@@ -52,7 +72,12 @@
 /// @param most_shift fraction of a region's requests that may change their region in two seconds.
 void update_spill(spill_state& state,
                   utilisation const& seen,
+                  slot_counts const& slots,
                   double most_shift,
                   kernel::monotonic_time now);
 
+/// @returns weights with which the wanted parts of the objects stay near. No slot weighs more than
+/// a nearer one.
+[[nodiscard]] slot_weights weights_of(spill_state const& state, slot_counts const& slots);
+
 } // namespace pistachiohub::gateway
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -438,6 +438,21 @@
     CHECK(sent <= 3);
 }
 
+// Reads come in batches, so a short-lived server may appear and vanish in one of them. The daemon
+// ended by an exception.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_server_added_and_removed_at_once_is_ignored",
+                 "[gateway]")
+{
+    fleet::backend_server server;
+    server.id = "i-1";
+    server.service = "s";
+    events::store_update<fleet::backend_server> const update{
+        false, 1, {{"i-1", 1, server}, {"i-1", 2, std::nullopt}}};
+    CHECK_NOTHROW(m_dispatcher->apply(update, m_now));
+    CHECK(status_of(begin("/i/1")) == 503);
+}
+
 // A daemon that was cut off cannot tell whether an entry lapsed or its server left meanwhile. The
 // server gets requests only when there is no other.
 TEST_CASE_METHOD(dispatcher_fixture,
