gateway: Let an object spread to three servers at most

Cause: after a short wait a request took the least loaded server, which did not know its object and dropped another one from its cache. Ruled out: too few slots (warm runs need 16 of 36), one popular object. Test: dispatcher_popular_object_never_spreads_over_all_servers.

--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -155,7 +155,7 @@
     }
     std::vector<server_pointer> ranked;
     for (auto const position :
-         rank_by_affinity(*request.affinity_key, candidates, servers_of_object))
+         rank_by_affinity(*request.affinity_key, candidates, servers_of_late_object))
         ranked.push_back(servers[position]);
     return ranked;
 }
@@ -165,8 +165,10 @@
                         choice_input const& input,
                         std::function<bool(known_server&)> const& may_send_cold)
 {
-    auto const ranked = rank(found, request, input.spill);
-    auto const& first = ranked.front();
+    auto ranked = rank(found, request, input.spill);
+    if (!input.may_leave_affinity)
+        ranked.resize(std::min(ranked.size(), servers_of_object));
+    auto const first = ranked.front();
     for (auto const& server : ranked)
     {
         if (may_move(first->how_far, server->how_far, input) &&
@@ -206,12 +208,7 @@
         return {nullptr, choice_failure::no_server, nullptr};
     if (!request.affinity_key)
         return choose_by_load(found, first_distance(found, input), input, may_send_cold);
-    auto chosen = choose_by_object(found, request, input, may_send_cold);
-    if (chosen.server || !input.may_leave_affinity)
-        return chosen;
-    auto const first = static_cast<std::size_t>(chosen.preferred->how_far);
-    auto any = choose_by_load(found, first, input, may_send_cold);
-    return any.server ? any : chosen;
+    return choose_by_object(found, request, input, may_send_cold);
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -21,7 +21,7 @@
     /// Whether a server at another distance may be taken when there is no room.
     bool may_leave_region = false;
     bool may_leave_domain = false;
-    /// Whether a server that does not know the object may be taken.
+    /// Whether a further server of the object may be taken.
     bool may_leave_affinity = false;
     kernel::monotonic_time now;
 };
@@ -40,6 +40,9 @@
 /// the first has no room. More of them would know fewer objects each.
 inline constexpr std::size_t servers_of_object = 2;
 
+/// Servers among which a request of the object chooses once it has waited for those.
+inline constexpr std::size_t servers_of_late_object = 3;
+
 /// The chosen server, or why there is none.
 struct choice
 {
