--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -122,24 +122,27 @@
                            std::uint64_t expected_version,
                            std::string_view value)
 {
-    return change(m_dialect.make_write(kind, name, expected_version, value));
+    return change(m_dialect.make_write(kind, name, expected_version, value),
+                  m_dialect.decode_written);
 }
 
 write_result
 client::remove(std::string_view kind, std::string_view name, std::uint64_t expected_version)
 {
-    return change(m_dialect.make_remove(kind, name, expected_version));
+    // The answer to a removal need not describe an object.
+    return change(m_dialect.make_remove(kind, name, expected_version), nullptr);
 }
 
-write_result client::change(http::request const& wanted)
+write_result client::change(http::request const& wanted,
+                            std::uint64_t (*decode)(std::string_view body))
 {
     try
     {
         auto const answer = m_http.send(wanted);
         auto const end = m_dialect.write_status(answer.status);
-        if (end != status::ok && end != status::conflict)
+        if (decode == nullptr || (end != status::ok && end != status::conflict))
             return {end, 0};
-        return {end, m_dialect.decode_written(answer.body)};
+        return {end, decode(answer.body)};
     }
     catch (http::never_sent const&)
     {
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -68,7 +68,7 @@
                                      std::uint64_t expected_version,
                                      std::string_view value);
 
-    /// Removes an object if it has `expected_version`.
+    /// Removes an object if it has `expected_version`. The result holds no version.
     [[nodiscard]] write_result
     remove(std::string_view kind, std::string_view name, std::uint64_t expected_version);
 
@@ -80,7 +80,9 @@
                                         kernel::duration read_timeout,
                                         page (*decode)(std::string_view body),
                                         bool& has_more);
-    [[nodiscard]] write_result change(http::request const& wanted);
+    /// @param decode reads the version from the answer; null if there is none to read.
+    [[nodiscard]] write_result change(http::request const& wanted,
+                                      std::uint64_t (*decode)(std::string_view body));
 
     http::client_limits m_limits;
     dialect m_dialect;
