gateway: Split what the dispatcher learns from what it decides

The updates stand in a file of their own now; the dialects share read_status_of and write_status_of.

--- a/libraries/object_store/dialect.cpp
+++ b/libraries/object_store/dialect.cpp
@@ -11,43 +11,17 @@
 namespace json = boost::json;
 
 constexpr unsigned http_ok = 200;
+constexpr unsigned http_created = 201;
 constexpr unsigned http_not_found = 404;
-constexpr unsigned http_conflict = 412;
+constexpr unsigned http_gone = 410;
+constexpr unsigned http_precondition_failed = 412;
 constexpr unsigned http_over_rate = 429;
 constexpr unsigned http_server_error = 500;
-constexpr unsigned http_outage = 503;
+constexpr unsigned http_unavailable = 503;
 
-status read_status(unsigned code)
-{
-    switch (code)
-    {
-    case http_ok:
-        return status::ok;
-    case http_not_found:
-        return status::missing;
-    case http_over_rate:
-        return status::over_rate;
-    default:
-        return status::outage;
-    }
-}
-
-// An error of the server other than the documented 503 does not say whether the write took effect.
 status write_status(unsigned code)
 {
-    switch (code)
-    {
-    case http_ok:
-        return status::ok;
-    case http_conflict:
-        return status::conflict;
-    case http_over_rate:
-        return status::over_rate;
-    case http_outage:
-        return status::outage;
-    default:
-        return code >= http_server_error ? status::lost_answer : status::outage;
-    }
+    return write_status_of(code, http_precondition_failed);
 }
 
 object to_object(json::value const& value)
@@ -128,6 +102,44 @@
 
 } // namespace
 
+status read_status_of(unsigned code)
+{
+    switch (code)
+    {
+    case http_ok:
+        return status::ok;
+    case http_not_found:
+        return status::missing;
+    case http_gone:
+        return status::history_gone;
+    case http_over_rate:
+        return status::over_rate;
+    default:
+        return status::outage;
+    }
+}
+
+// An error of the server other than the documented 503 does not say whether the write took effect.
+status write_status_of(unsigned code, unsigned conflict_code)
+{
+    if (code == conflict_code)
+        return status::conflict;
+    switch (code)
+    {
+    case http_ok:
+    case http_created:
+        return status::ok;
+    case http_not_found:
+        return status::missing;
+    case http_over_rate:
+        return status::over_rate;
+    case http_unavailable:
+        return status::outage;
+    default:
+        return code >= http_server_error ? status::lost_answer : status::outage;
+    }
+}
+
 dialect const& native_dialect()
 {
     static dialect const spoken{make_read,
@@ -135,7 +147,7 @@
                                 make_watch,
                                 make_write,
                                 make_remove,
-                                read_status,
+                                read_status_of,
                                 write_status,
                                 decode_object,
                                 decode_list,
--- a/libraries/object_store/dialect.hpp
+++ b/libraries/object_store/dialect.hpp
@@ -51,6 +51,13 @@
     std::uint64_t (*decode_written)(std::string_view body);
 };
 
+/// @returns what the status of an answer to a read means in each of these object APIs.
+[[nodiscard]] status read_status_of(unsigned code);
+
+/// @param conflict_code status of a write whose condition does not hold.
+/// @returns what the status of an answer to a write means.
+[[nodiscard]] status write_status_of(unsigned code, unsigned conflict_code);
+
 /// @returns the object API that docs/design.md describes.
 [[nodiscard]] dialect const& native_dialect();
 
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -21,7 +21,7 @@
 constexpr auto adapt_interval = milliseconds(250);
 // Interval at which waiting requests look for slots that others have left.
 constexpr auto waiting_interval = milliseconds(20);
-// Weight of the newest value of a smoothed figure.
+// Weight of the newest value of the smoothed time of a run.
 constexpr double smoothing = 0.2;
 // Requests that wait for one service at most; bounds the memory and the time of one pass.
 constexpr std::size_t most_waiting = 512;
@@ -37,8 +37,8 @@
 constexpr double longest_wait = 0.6;
 // Time before the caller leaves at which it must have its answer, to read it in time.
 constexpr auto answer_margin = milliseconds(25);
-// Permissions for sends to another region: earned by each request, and the most that are saved. With
-// the part of the objects that moves they stay within the permitted shift.
+// Permissions for sends to another region: earned by each request, and the most that are saved.
+// With the part of the objects that moves they stay within the permitted shift.
 constexpr double far_sends_per_request = 0.03;
 constexpr double most_far_sends = 4;
 // Time before the end of a request in which no backend server can do anything useful.
@@ -48,26 +48,6 @@
 // Lines a second for requests that were served and for those that were not.
 constexpr double request_lines_per_second = 100;
 
-void smooth(std::optional<double>& figure, std::optional<double> const& newest)
-{
-    if (!newest || !figure)
-        figure = newest;
-    else
-        *figure += smoothing * (*newest - *figure);
-}
-
-/// Sums of load and slots at one distance.
-struct use_sum
-{
-    double load = 0;
-    double slots = 0;
-
-    [[nodiscard]] std::optional<double> share() const
-    {
-        return slots > 0 ? std::optional(load / slots) : std::nullopt;
-    }
-};
-
 bool comes_before(request_pointer const& left, request_pointer const& right)
 {
     if (left->route->priority != right->route->priority)
@@ -114,95 +94,6 @@
     m_hosts.own.region = own.gateway->region;
 }
 
-void dispatcher::set_bounds(kernel::gateway_bounds const& bounds)
-{
-    m_bounds = bounds;
-}
-
-void dispatcher::apply(events::store_update<routing::routing_document> const& update)
-{
-    for (auto const& read : update.changes)
-    {
-        bool const is_newer =
-            read.record && (!m_table || read.record->version > m_table->document.version);
-        kernel::log_event(kernel::log_level::info,
-                          "gateway",
-                          is_newer ? "configuration_applied" : "configuration_ignored",
-                          {{"version", read.record ? read.record->version : 0},
-                           {"in_force", m_table ? m_table->document.version : 0},
-                           {"object_version", read.version}});
-        if (!is_newer)
-            continue;
-        m_table = routing::make_routing_table(*read.record);
-        m_rotations.clear();
-    }
-}
-
-void dispatcher::log_lost(std::vector<std::string> const& ids, std::string_view cause)
-{
-    for (auto const& id : ids)
-        kernel::log_event(kernel::log_level::info,
-                          "gateway",
-                          "server_lost",
-                          {{"server", std::string_view(id)}, {"cause", cause}});
-}
-
-void dispatcher::log_added(std::string const& id)
-{
-    auto const found = m_servers.servers.find(id);
-    // One update may hold the removal too.
-    if (found == m_servers.servers.end())
-        return;
-    auto const& server = *found->second;
-    kernel::log_event(kernel::log_level::info,
-                      "gateway",
-                      "server_added",
-                      {{"server", std::string_view(id)},
-                       {"service", std::string_view(server.record.service)},
-                       {"failure_domain", std::string_view(server.record.failure_domain)},
-                       {"version", server.version},
-                       {"cold_ms", server.record.cold_remaining.count()}});
-}
-
-void dispatcher::apply(events::store_update<fleet::backend_server> const& update,
-                       kernel::monotonic_time now)
-{
-    auto const change = gateway::apply(m_servers, update, now);
-    for (auto const& id : change.added)
-        log_added(id);
-    log_lost(change.lost, "store");
-    tick(now);
-}
-
-void dispatcher::apply(events::store_update<events::evacuation> const& update,
-                       kernel::monotonic_time now)
-{
-    gateway::apply(m_servers, update);
-    for (auto const& read : update.changes)
-        kernel::log_event(
-            kernel::log_level::info,
-            "gateway",
-            read.record ? "evacuation_begun" : "evacuation_ended",
-            {{"failure_domain", std::string_view(read.name)}, {"version", read.version}});
-    tick(now);
-}
-
-void dispatcher::apply(events::store_update<fleet::entry_host> const& update,
-                       kernel::monotonic_time now)
-{
-    gateway::apply(m_hosts, update, now);
-}
-
-void dispatcher::apply_server_contact(bool is_reachable, kernel::monotonic_time now)
-{
-    gateway::apply_contact(m_servers, is_reachable, now);
-}
-
-void dispatcher::apply_host_contact(bool is_reachable, kernel::monotonic_time now)
-{
-    gateway::apply_contact(m_hosts, is_reachable, now);
-}
-
 void dispatcher::set_waiting(gateway_request& request, server_pointer const& server)
 {
     if (request.waits_for)
@@ -564,34 +455,6 @@
     }
 }
 
-void dispatcher::update_utilisation(std::string const& service,
-                                    service_state& state,
-                                    kernel::monotonic_time now)
-{
-    std::array<use_sum, 3> sums;
-    for (auto const& server : servers_of(m_servers, service))
-    {
-        if (!is_usable(m_servers, *server))
-            continue;
-        auto const load = estimated_load(*server, now);
-        for (auto nearest = static_cast<std::size_t>(server->how_far); nearest < sums.size();
-             ++nearest)
-        {
-            sums[nearest].load += load;
-            sums[nearest].slots += server->record.slots;
-        }
-    }
-    // What waits here has no slot and belongs to the load of the nearest servers.
-    for (auto& sum : sums)
-        sum.load += static_cast<double>(state.waiting.size());
-    smooth(state.used.own_domain, sums[0].slots > 0 ? sums[0].share() : std::optional<double>());
-    smooth(state.used.own_region, sums[1].share());
-    smooth(state.used.everywhere, sums[2].share());
-    slot_counts const slots{
-        sums[0].slots, sums[1].slots - sums[0].slots, sums[2].slots - sums[1].slots};
-    update_spill(state.spill, state.used, slots, m_bounds.shift, now);
-}
-
 kernel::monotonic_time dispatcher::next_tick(kernel::monotonic_time now) const
 {
     auto next = m_adapted_at + adapt_interval;
