--- a/plugins/gateway/caller_gate.cpp
+++ b/plugins/gateway/caller_gate.cpp
@@ -55,6 +55,8 @@
     request_pointer request;
     std::optional<answer> made;
     bool is_head = false;
+    /// Bytes of the request that are held.
+    std::size_t held_bytes = 0;
 };
 
 milliseconds parse_deadline(std::string_view text)
@@ -95,12 +97,12 @@
     implementation(kernel::event_loop& own_loop,
                    kernel::metrics& metrics,
                    interface::message_headers const& header_names,
-                   std::size_t connection_limit,
+                   caller_gate_limits const& own_limits,
                    caller_gate_events callbacks)
         : loop(own_loop)
         , counters(metrics)
         , names(header_names)
-        , most_connections(connection_limit)
+        , most(own_limits)
         , events(std::move(callbacks))
         , acceptor(own_loop.context())
     {
@@ -116,7 +118,9 @@
     kernel::event_loop& loop;
     kernel::metrics& counters;
     interface::message_headers names;
-    std::size_t most_connections;
+    caller_gate_limits most;
+    /// Bytes of requests that are being read or wait for their answers.
+    std::size_t held_bytes = 0;
     caller_gate_events events;
     tcp::acceptor acceptor;
     routing::caller_limits limits;
@@ -146,6 +150,7 @@
 
     ~session()
     {
+        release(m_held_bytes);
         m_gate->sessions.erase(this);
     }
 
@@ -231,9 +236,18 @@
         if (!has_partial_request())
             m_request_began_at = m_active_at;
         m_buffer.commit(bytes);
+        m_held_bytes += bytes;
+        m_gate->held_bytes += bytes;
+        if (m_gate->held_bytes > m_gate->most.held_bytes)
+            return refuse(refusal::no_memory);
         parse();
     }
 
+    void release(std::size_t bytes)
+    {
+        m_gate->held_bytes -= bytes;
+    }
+
     void parse()
     {
         while (m_buffer.size() > 0 && !m_is_last && m_exchanges.size() < most_pipelined)
@@ -292,7 +306,9 @@
         request->caller_leaves_at =
             m_request_began_at + parse_deadline(find_value(headers, names.remaining_ms));
         m_request_began_at = m_active_at;
-        m_exchanges.push_back({request, std::nullopt, request->message.method == "HEAD"});
+        // The buffer may hold the beginning of a pipelined request, which counts with this one.
+        auto const held = std::exchange(m_held_bytes, 0);
+        m_exchanges.push_back({request, std::nullopt, request->message.method == "HEAD", held});
         m_gate->waiting.emplace(request->number, shared_from_this());
         m_gate->events.begin(request);
     }
@@ -307,7 +323,8 @@
                           "request_unreadable",
                           {{"reason", to_string(cause)}});
         m_is_last = true;
-        m_exchanges.push_back({nullptr, make_refusal(cause, std::nullopt), false});
+        m_exchanges.push_back(
+            {nullptr, make_refusal(cause, std::nullopt), false, std::exchange(m_held_bytes, 0)});
         write();
     }
 
@@ -325,6 +342,7 @@
             text += make_answer_text(*front.made, front.is_head, m_is_last && is_only);
             if (front.request)
                 m_gate->waiting.erase(front.request->number);
+            release(front.held_bytes);
             m_exchanges.pop_front();
         }
         if (!text.empty())
@@ -392,8 +410,10 @@
     {
         close(cause);
         auto const exchanges = std::exchange(m_exchanges, {});
+        release(std::exchange(m_held_bytes, 0));
         for (auto const& open : exchanges)
         {
+            release(open.held_bytes);
             if (!open.request)
                 continue;
             m_gate->waiting.erase(open.request->number);
@@ -418,6 +438,8 @@
     std::optional<parser> m_parser;
     std::deque<exchange> m_exchanges;
     std::string m_output;
+    /// Bytes read since the last whole request.
+    std::size_t m_held_bytes = 0;
     kernel::monotonic_time m_active_at;
     kernel::monotonic_time m_request_began_at;
     bool m_is_reading = false;
@@ -453,7 +475,7 @@
         {
             if (failure == asio::error::operation_aborted)
                 return;
-            if (failure || self->sessions.size() >= self->most_connections)
+            if (failure || self->sessions.size() >= self->most.connections)
             {
                 self->count_closed(failure ? "accept_failed" : "too_many_connections");
                 error_code ignored;
@@ -500,10 +522,10 @@
                          kernel::metrics& counters,
                          kernel::endpoint const& own,
                          interface::message_headers const& names,
-                         std::size_t most_connections,
+                         caller_gate_limits const& limits,
                          caller_gate_events events)
-    : m_implementation(std::make_shared<implementation>(
-          loop, counters, names, most_connections, std::move(events)))
+    : m_implementation(
+          std::make_shared<implementation>(loop, counters, names, limits, std::move(events)))
 {
     m_implementation->listen(own);
     m_implementation->accept();
@@ -519,6 +541,8 @@
 {
     error_code ignored;
     m_implementation->acceptor.close(ignored);
+    // Connections with open requests hold this gate, which holds them.
+    m_implementation->waiting.clear();
 }
 
 void caller_gate::set_limits(routing::caller_limits const& limits)
@@ -557,4 +581,9 @@
     return busy;
 }
 
+std::size_t caller_gate::held_bytes() const
+{
+    return m_implementation->held_bytes;
+}
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/caller_gate.hpp
+++ b/plugins/gateway/caller_gate.hpp
@@ -25,18 +25,27 @@
     std::function<void(request_pointer const&)> gone;
 };
 
+/// Limits that keep callers from using up the host.
+struct caller_gate_limits
+{
+    /// Further callers are not accepted.
+    std::size_t connections = 1024;
+    /// Bytes of requests that are being read or wait for their answers, over all connections. A
+    /// request beyond them is refused.
+    std::size_t held_bytes = std::size_t{64} << 20;
+};
+
 /// Accepts callers and reads their requests; answers leave in the order of the requests. Every call
 /// is made on the loop's thread.
 class caller_gate
 {
 public:
-    /// @param most_connections further callers are not accepted.
     /// @throws http::listen_error when the address is not available.
     caller_gate(kernel::event_loop& loop,
                 kernel::metrics& counters,
                 kernel::endpoint const& own,
                 interface::message_headers const& names,
-                std::size_t most_connections,
+                caller_gate_limits const& limits,
                 caller_gate_events events);
     ~caller_gate();
     caller_gate(caller_gate const&) = delete;
@@ -58,6 +67,9 @@
     /// @returns connections with requests or answers on their way.
     [[nodiscard]] std::size_t busy_connections() const;
 
+    /// @returns bytes of requests that are being read or wait for their answers.
+    [[nodiscard]] std::size_t held_bytes() const;
+
     /// Shared with the connections; defined in the implementation file.
     struct implementation;
 
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -40,6 +40,9 @@
 constexpr double reserved_descriptors = 256;
 // Callers' part of the other descriptors; the rest is for backend servers.
 constexpr double caller_part_of_descriptors = 0.6;
+// Part of the memory for requests that are held. Each is copied once to be sent, and answers take
+// memory too.
+constexpr double request_part_of_memory = 0.2;
 // Part of the shutdown grace in which new callers are accepted: they may still hold an old
 // directory answer.
 constexpr double accepting_part_of_grace = 0.6;
@@ -47,11 +50,16 @@
 constexpr auto shutdown_margin = milliseconds(400);
 constexpr auto drain_check_interval = milliseconds(50);
 
-std::size_t most_connections(kernel::host_resources const& resources)
+caller_gate_limits make_gate_limits(kernel::host_resources const& resources)
 {
     constexpr double fewest = 16;
+    constexpr double bytes_per_mb = 1e6;
     auto const usable = (resources.descriptors - reserved_descriptors) * caller_part_of_descriptors;
-    return static_cast<std::size_t>(std::max(usable, fewest));
+    caller_gate_limits limits;
+    limits.connections = static_cast<std::size_t>(std::max(usable, fewest));
+    limits.held_bytes =
+        static_cast<std::size_t>(resources.memory_mb * bytes_per_mb * request_part_of_memory);
+    return limits;
 }
 
 class gateway_duty : public kernel::duty
@@ -77,7 +85,7 @@
                  context.own_metrics(),
                  m_settings.callers,
                  m_interface.headers,
-                 most_connections(m_settings.resources),
+                 make_gate_limits(m_settings.resources),
                  make_gate_events())
         , m_readiness(make_server(m_settings.readiness, &gateway_duty::answer_readiness))
         , m_directory(make_server(m_settings.directory, &gateway_duty::answer_directory))
@@ -340,7 +348,12 @@
     {
         if (wanted.path != "/metrics")
             return {http_not_found, "{\"reason\":\"unknown_path\"}"};
-        return {http_ok, m_context.own_metrics().text(), "text/plain; version=0.0.4"};
+        auto& metrics = m_context.own_metrics();
+        metrics.set_gauge("pistachiohub_gateway_open_requests",
+                          static_cast<double>(m_dispatcher.open_requests()));
+        metrics.set_gauge("pistachiohub_gateway_held_bytes",
+                          static_cast<double>(m_gate.held_bytes()));
+        return {http_ok, metrics.text(), "text/plain; version=0.0.4"};
     }
 
     kernel::daemon_context& m_context;
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -34,7 +34,9 @@
     /// It is not valid HTTP.
     malformed,
     header_too_large,
-    body_too_large
+    body_too_large,
+    /// The requests of all callers take too much memory. Not run.
+    no_memory
 };
 
 /// @returns the name used in logs and metric labels.
--- a/plugins/gateway/retry_allowance.cpp
+++ b/plugins/gateway/retry_allowance.cpp
@@ -10,8 +10,8 @@
 
 std::int64_t number_of(retry_bounds const& bounds, kernel::monotonic_time now)
 {
-    auto const length = std::max<kernel::duration>(bounds.window / retry_allowance::buckets,
-                                                   std::chrono::milliseconds(1));
+    auto const length = std::max<kernel::duration>(
+        bounds.window / retry_allowance::buckets_of_window, std::chrono::milliseconds(1));
     return now.time_since_epoch() / length;
 }
 
@@ -43,7 +43,8 @@
     {
         if (bucket.number <= number - static_cast<std::int64_t>(retry_allowance::buckets))
             continue;
-        requests += static_cast<double>(bucket.requests);
+        if (bucket.number > number - static_cast<std::int64_t>(retry_allowance::buckets_of_window))
+            requests += static_cast<double>(bucket.requests);
         repeats += static_cast<double>(bucket.repeats);
     }
     auto const share = bounds.extra / static_cast<double>(std::max<std::size_t>(daemons, 1));
--- a/plugins/gateway/retry_allowance.hpp
+++ b/plugins/gateway/retry_allowance.hpp
@@ -28,7 +28,9 @@
 /// Requests and further sends of one service within the last window.
 struct retry_allowance
 {
-    static constexpr std::size_t buckets = 10;
+    static constexpr std::size_t buckets_of_window = 10;
+    /// One more than the window has: a sliding window reaches into it.
+    static constexpr std::size_t buckets = buckets_of_window + 1;
 
     struct bucket
     {
@@ -45,8 +47,9 @@
 
 /// Counts one further send if this daemon's share permits it.
 ///
-/// Invariant: within a window, repeats <= used part * (ratio * own requests + extra / daemons). The
-/// sum over all daemons stays within the bounds if each counts at least the daemons that live.
+/// Invariant: when a send is permitted, the repeats of the window that ends now are at most the
+/// used part of (ratio * own requests of that window + extra / daemons). The sum over all daemons
+/// stays within the bounds if each counts at least the daemons that live.
 /// @param daemons daemons among which the extra sends are split, at least 1.
 [[nodiscard]] bool try_repeat(retry_allowance& state,
                               retry_bounds const& bounds,
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -44,6 +44,8 @@
          {&gateway.callers, &gateway.readiness, &gateway.directory, &gateway.metrics})
         *own_endpoint = {"127.0.0.1", own_port(number++)};
     gateway.bounds.extra_retries = 60;
+    // A fifth of it holds requests.
+    gateway.resources.memory_mb = 1;
     gateway.bounds.shutdown_grace = milliseconds(1500);
     return own;
 }
@@ -143,6 +145,15 @@
         return support::connect_to(m_settings.gateway->callers.port);
     }
 
+    /// Reads the gauge of held bytes.
+    [[nodiscard]] double held_bytes() const
+    {
+        auto const text = fetch(m_settings.gateway->metrics.port, "/metrics");
+        std::string const name = "\npistachiohub_gateway_held_bytes ";
+        auto const position = text.find(name);
+        return position == std::string::npos ? 0 : std::stod(text.substr(position + name.size()));
+    }
+
     [[nodiscard]] static std::string fetch(std::uint16_t port, std::string const& target)
     {
         auto connection = support::connect_to(port);
@@ -336,6 +347,38 @@
     CHECK(has_status(other.receive_message(), "413"));
 }
 
+// Callers that send large bodies slowly must not take all memory, after which the host would end
+// the process and all of its requests.
+TEST_CASE_METHOD(gateway_fixture, "gateway_bodies_beyond_the_memory_are_refused", "[gateway]")
+{
+    std::string const part(90000, 'x');
+    auto const head = "POST /o/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 99000\r\n\r\n";
+    auto one = connect();
+    one.send(head + part);
+    auto two = connect();
+    two.send(head + part);
+    CHECK(support::eventually(
+        [this]()
+        {
+            return held_bytes() >= 180000;
+        }));
+    auto three = connect();
+    three.send(head + part);
+    auto const refused = three.receive_message();
+    CHECK(has_status(refused, "503"));
+    CHECK(three.is_closed_by_peer());
+    one.close();
+    CHECK(support::eventually(
+        [this]()
+        {
+            return held_bytes() < 100000;
+        }));
+    auto four = connect();
+    four.send(post("b", "small"));
+    auto server = m_server.accept();
+    CHECK(server.receive_message().ends_with("small"));
+}
+
 TEST_CASE_METHOD(gateway_fixture,
                  "gateway_caller_that_waits_to_send_its_body_is_told_to",
                  "[gateway]")
