gateway: Bound the log lines of malformed input

Cause: a flood of malformed requests or directory queries wrote a line each. Conclusion: ten lines a second, the others are counted in 'suppressed'.

--- a/plugins/gateway/caller_gate.cpp
+++ b/plugins/gateway/caller_gate.cpp
@@ -44,6 +44,9 @@
 constexpr auto accept_pause = milliseconds(100);
 // Deadline of requests that state none, or one that cannot be read.
 constexpr auto default_deadline = std::chrono::seconds(60);
+// Lines a second for requests that are no valid HTTP, so that a flood of them does not fill the
+// log.
+constexpr double unreadable_lines_per_second = 10;
 // Time after which a caller that acknowledges nothing counts as gone.
 constexpr auto caller_silence = std::chrono::seconds(5);
 
@@ -129,6 +132,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<session>> waiting;
     std::uint64_t last_number = 0;
     bool is_draining = false;
+    kernel::log_limiter unreadable_log{unreadable_lines_per_second};
 };
 
 namespace
@@ -318,10 +322,12 @@
         m_gate->counters
             .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(cause)})
             .increment();
-        kernel::log_event(kernel::log_level::info,
-                          "gateway",
-                          "request_unreadable",
-                          {{"reason", to_string(cause)}});
+        if (m_gate->unreadable_log.admit(kernel::monotonic_now()))
+            kernel::log_event(kernel::log_level::info,
+                              "gateway",
+                              "request_unreadable",
+                              {{"reason", to_string(cause)},
+                               {"suppressed", m_gate->unreadable_log.take_suppressed()}});
         m_is_last = true;
         m_exchanges.push_back(
             {nullptr, make_refusal(cause, std::nullopt), false, std::exchange(m_held_bytes, 0)});
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -36,6 +36,8 @@
 // Time that callers may keep a directory answer: short, so that they leave a lost host soon.
 constexpr auto directory_time_to_live = milliseconds(3000);
 constexpr auto sweep_interval = milliseconds(500);
+// Lines a second for directory queries that are malformed.
+constexpr double directory_lines_per_second = 10;
 // Descriptors for the store, the servers of this daemon, logs and files.
 constexpr double reserved_descriptors = 256;
 // Callers' part of the other descriptors; the rest is for backend servers.
@@ -336,10 +338,12 @@
         }
         catch (interface::document_error const& failure)
         {
-            kernel::log_event(kernel::log_level::info,
-                              "gateway",
-                              "directory_query_refused",
-                              {{"error", std::string_view(failure.what())}});
+            if (m_directory_log.admit(kernel::monotonic_now()))
+                kernel::log_event(kernel::log_level::info,
+                                  "gateway",
+                                  "directory_query_refused",
+                                  {{"error", std::string_view(failure.what())},
+                                   {"suppressed", m_directory_log.take_suppressed()}});
             return {http_bad_request, "{\"reason\":\"bad_query\"}"};
         }
     }
@@ -372,6 +376,7 @@
     std::unique_ptr<http::server> m_readiness;
     std::unique_ptr<http::server> m_directory;
     std::unique_ptr<http::server> m_metrics;
+    kernel::log_limiter m_directory_log{directory_lines_per_second};
     bool m_is_draining = false;
     bool m_was_ready = false;
 };
