forward: Refuse requests after the last settlement without counting them

A daemon that shuts down writes its settlement once, when nothing is in flight any more. Up to 250 ms pass between that write and the end of its caller port, and a new request in that time was refused as draining and counted in a ledger that was not written again. Ruled out: a lost settlement command (the ring keeps the order and the flush comes last); a killed daemon (all eight ended with code 0); a refusal by the front duty (its reasons are not compared). Before: the new test fails for callers and for peers (4 of 9 assertions). Known ids are still answered from their record.

--- a/plugins/forward/admission.cpp
+++ b/plugins/forward/admission.cpp
@@ -129,6 +129,13 @@
         answer_without_record(current, subject, outcome::unresolved, reason::expired);
         return;
     }
+    // The ledger's last write is under way, so that nothing more can be settled. No copy of the id
+    // can run any more: an earlier one would be known, and a later one is refused as well.
+    if (has_closed_settlement(current))
+    {
+        answer_without_record(current, subject, outcome::not_run, reason::not_ready);
+        return;
+    }
     // Without a record a later copy of this id could run, so that `not_run` would not be proven.
     if (is_table_full(table, subject.id))
     {
--- a/plugins/forward/drain.cpp
+++ b/plugins/forward/drain.cpp
@@ -33,6 +33,11 @@
     return phase == drain_phase::refusing || phase == drain_phase::flushing;
 }
 
+bool has_closed_settlement(step const& current)
+{
+    return current.state.drain.phase == drain_phase::flushing;
+}
+
 void advance_drain(step& current)
 {
     auto& drain = current.state.drain;
--- a/plugins/forward/drain.hpp
+++ b/plugins/forward/drain.hpp
@@ -33,6 +33,10 @@
 /// @returns true if the shutdown has come so far that new requests are refused.
 [[nodiscard]] bool refuses_new_requests(step const& current);
 
+/// @returns true if the settlement is being written for the last time, so that later outcomes would
+/// not be in it.
+[[nodiscard]] bool has_closed_settlement(step const& current);
+
 /// Moves the shutdown on. Once nothing is in flight it emits `flush_settlement` with an empty
 /// callback, which the duty fills in.
 void advance_drain(step& current);
--- a/tests/forward/owner_forwarding_test.cpp
+++ b/tests/forward/owner_forwarding_test.cpp
@@ -162,6 +162,32 @@
     CHECK(all<events::flush_settlement>().empty());
 }
 
+// The settlement is written once at the end of the shutdown: an outcome counted after that would be
+// known to the caller only.
+TEST_CASE_METHOD(fixture, "request_after_flush_of_drain_is_refused_without_settlement", "[forward]")
+{
+    world.is_draining = true;
+    pass(10ms);
+    pass(2s);
+    REQUIRE(only<events::flush_settlement>().has_value());
+    SECTION("from_caller")
+    {
+        request("lock", "late");
+        CHECK(replied(*this, outcome::not_run, reason::not_ready));
+        CHECK(only<front_reply>()->has_lookup);
+    }
+    SECTION("from_peer")
+    {
+        receive(
+            "sibling", peer_incarnation, messages::submit{7, own_id("late"), "lock", 5000, "body"});
+        auto const reply = only<messages::submit_reply>();
+        REQUIRE(reply.has_value());
+        CHECK(reply->result == outcome::not_run);
+        CHECK(reply->cause == reason::not_ready);
+    }
+    CHECK(all<events::settle_request>().empty());
+}
+
 TEST_CASE_METHOD(fixture, "usage_report_offers_nothing_during_drain", "[forward]")
 {
     pass(100ms);
