gateway: Settle each request, and show status and settlement to operators

Daemons on the platform counted outcomes only in metrics, which end with the process, so that the operators' partner had nothing to compare; status, settle and config check knew only the request interface. Change: the dispatcher names the outcome of each request of a known service once (ran, not_run or unresolved); a duty counts it in the ledger of the request interface and writes it to the store every ten seconds and at the end. Ruled out: a write for each request (a store call per request); counts with the registration of the host (its object goes when the host does). Before: the new tests did not compile against the dispatcher. A killed daemon loses the counts of up to ten seconds, which the operator page says.

--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -102,6 +102,8 @@
     result.directory = reader.required_endpoint("directory");
     result.metrics = reader.required_endpoint("metrics");
     result.server_heartbeat = time_ms_or(reader, "server_heartbeat_ms", result.server_heartbeat);
+    result.settlement_interval =
+        time_s_or(reader, "settlement_interval_s", result.settlement_interval);
     if (auto const* const bounds = reader.find("bounds"))
         result.bounds = read_bounds(*bounds, reader.key_path("bounds"));
     if (auto const* const resources = reader.find("resources"))
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -65,6 +65,9 @@
     endpoint metrics;
     /// Interval at which backend servers report to the store.
     std::chrono::milliseconds server_heartbeat{1500};
+    /// Interval at which the settlement is written to the store. A killed daemon loses the counts
+    /// since its last write.
+    std::chrono::milliseconds settlement_interval{10000};
     gateway_bounds bounds;
     host_resources resources;
 };
--- a/libraries/interface/interface.hpp
+++ b/libraries/interface/interface.hpp
@@ -56,6 +56,7 @@
     /// Objects are named after failure domains.
     std::string_view evacuations;
     std::string_view entry_hosts;
+    std::string_view settlements;
 };
 
 /// A caller asks where to connect.
--- a/libraries/ledger/settlement_report.cpp
+++ b/libraries/ledger/settlement_report.cpp
@@ -128,4 +128,19 @@
     return is_counted ? "counted in window" : "unknown";
 }
 
+std::string_view describe_callers_id(std::string_view id,
+                                     std::span<settlement_document const> settlements)
+{
+    for (auto const& settlement : settlements)
+    {
+        for (auto const& entry : settlement.unresolved)
+        {
+            auto const known = identity::parse_request_id(entry.id);
+            if (known && known->unique == id)
+                return "unresolved";
+        }
+    }
+    return "not listed";
+}
+
 } // namespace pistachiohub::ledger
--- a/libraries/ledger/settlement_report.hpp
+++ b/libraries/ledger/settlement_report.hpp
@@ -36,4 +36,10 @@
                                            std::span<settlement_document const> settlements,
                                            std::span<journal_document const> journals);
 
+/// @param id as the caller chose it, without the daemon that had it.
+/// @returns `unresolved` when a list holds it, otherwise `not listed`: it ran or did not run, as
+/// its caller was told, or no daemon has had it.
+[[nodiscard]] std::string_view
+describe_callers_id(std::string_view id, std::span<settlement_document const> settlements);
+
 } // namespace pistachiohub::ledger
--- a/plugins/admin/status_report.cpp
+++ b/plugins/admin/status_report.cpp
@@ -1,11 +1,8 @@
 #include "plugins/admin/status_report.hpp"
 
-#include <boost/json.hpp>
+#include "kernel/metrics_document.hpp"
 
-#include <cmath>
-#include <cstdint>
-#include <cstdlib>
-#include <sstream>
+#include <boost/json.hpp>
 
 namespace pistachiohub::admin
 {
@@ -15,9 +12,6 @@
 
 namespace json = boost::json;
 
-// Doubles up to 2^53 hold whole numbers exactly.
-constexpr double largest_exact = 9007199254740992.0;
-
 std::string_view to_string(view::member_state state)
 {
     switch (state)
@@ -59,28 +53,6 @@
     return result;
 }
 
-// The Prometheus text has one `<name>{<labels>} <value>` on each line that is no comment.
-json::object read_counters(std::string const& metrics_text)
-{
-    json::object counters;
-    std::istringstream lines(metrics_text);
-    for (std::string line; std::getline(lines, line);)
-    {
-        auto const space = line.rfind(' ');
-        if (line.empty() || line.front() == '#' || space == std::string::npos)
-            continue;
-        auto const value = std::strtod(line.c_str() + space, nullptr);
-        // Boost.JSON writes every double with an exponent; counts read better without.
-        bool const is_whole = value == std::floor(value) && std::abs(value) < largest_exact;
-        auto& counter = counters[line.substr(0, space)];
-        if (is_whole)
-            counter = static_cast<std::int64_t>(value);
-        else
-            counter = value;
-    }
-    return counters;
-}
-
 } // namespace
 
 std::string make_status(kernel::daemon_context& context, view::world_view const* world)
@@ -103,7 +75,7 @@
         {"is_draining", context.is_draining()},
         {"members", std::move(members)},
         {"backend_servers", std::move(servers)},
-        {"counters", read_counters(context.own_metrics().text())}};
+        {"counters", kernel::counters_document(context.own_metrics())}};
     return json::serialize(status);
 }
 
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -76,6 +76,13 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
+outcome known_outcome(gateway_request const& request)
+{
+    if (request.has_run)
+        return outcome::ran;
+    return request.may_have_run ? outcome::unresolved : outcome::not_run;
+}
+
 dispatcher::dispatcher(kernel::settings const& own,
                        dispatcher_actions actions,
                        kernel::metrics& metrics)
@@ -261,6 +268,7 @@
     if (end.result == attempt_result::answered)
     {
         record_success(server);
+        request->has_run = true;
         auto const ran = seconds_value(now - request->sent_at).count();
         state.run_seconds += (state.run_seconds == 0 ? 1 : smoothing) * (ran - state.run_seconds);
     }
@@ -349,9 +357,8 @@
     }
     else
         state_of(service).waiting.remove(request);
-    set_waiting(*request, nullptr);
-    request->state = request_state::ended;
-    --m_open;
+    request->may_have_run = request->may_have_run || was_running;
+    close(*request);
     m_metrics.find_counter("pistachiohub_gateway_callers_gone_total").increment();
     if (m_request_log.admit(now))
         kernel::log_event(kernel::log_level::info,
@@ -388,15 +395,23 @@
                       longest_retry_after);
 }
 
+void dispatcher::close(gateway_request& request)
+{
+    assert(request.state != request_state::ended);
+    set_waiting(request, nullptr);
+    request.state = request_state::ended;
+    --m_open;
+    // Refusals without a service are no part of any settlement: no backend server is concerned.
+    if (!request.service.empty() && !request.id.empty())
+        m_actions.settle(request, known_outcome(request));
+}
+
 void dispatcher::finish(request_pointer const& request,
                         answer&& made,
                         std::string_view outcome,
                         kernel::monotonic_time now)
 {
-    assert(request->state != request_state::ended);
-    set_waiting(*request, nullptr);
-    request->state = request_state::ended;
-    --m_open;
+    close(*request);
     m_metrics.find_counter("pistachiohub_gateway_requests_total", {"outcome", outcome}).increment();
     m_metrics.find_latency("pistachiohub_gateway_request_seconds", {"outcome", outcome})
         .observe(seconds_value(now - request->arrived_at).count());
@@ -408,6 +423,7 @@
                           "request_ended",
                           {{"id", std::string_view(request->id)},
                            {"outcome", outcome},
+                           {"settled", to_string(known_outcome(*request))},
                            {"status", made.status},
                            {"route", request->route ? std::string_view(request->route->name) : "-"},
                            {"service", std::string_view(request->service)},
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -32,6 +32,9 @@
     std::function<void(request_pointer const&)> cancel;
     /// Gives the caller its answer.
     std::function<void(request_pointer const&, answer&&)> reply;
+    /// Counts the outcome of a request that has ended. Called once for each request of a known
+    /// service that bears an id.
+    std::function<void(gateway_request const&, outcome)> settle;
     /// @returns a number in `[0, 1)`.
     std::function<double()> random;
 };
@@ -83,6 +86,17 @@
         return m_hosts;
     }
 
+    [[nodiscard]] host_table const& hosts() const
+    {
+        return m_hosts;
+    }
+
+    /// @returns the backend servers.
+    [[nodiscard]] server_table const& servers() const
+    {
+        return m_servers;
+    }
+
     /// @returns whether requests can be served.
     [[nodiscard]] bool is_ready() const
     {
@@ -128,6 +142,8 @@
                 std::string_view outcome,
                 kernel::monotonic_time now);
     void refuse(request_pointer const& request, refusal cause, kernel::monotonic_time now);
+    /// Ends the request, so that nothing more happens to it.
+    void close(gateway_request& request);
     [[nodiscard]] std::chrono::milliseconds retry_after(service_state const& state);
     /// Counts the request among those that wait for `server`, which may be null.
     static void set_waiting(gateway_request& request, server_pointer const& server);
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -7,11 +7,13 @@
 #include "kernel/plugin.hpp"
 #include "kernel/snapshot.hpp"
 #include "libraries/events/gateway_event.hpp"
+#include "libraries/events/store_command.hpp"
 #include "libraries/http/server.hpp"
 #include "libraries/interface/interface.hpp"
 #include "plugins/gateway/caller_gate.hpp"
 #include "plugins/gateway/dispatcher.hpp"
 #include "plugins/gateway/server_pool.hpp"
+#include "plugins/gateway/status_report.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +52,8 @@
 constexpr double accepting_part_of_grace = 0.6;
 // Time before the kill at which the process ends in any case.
 constexpr auto shutdown_margin = milliseconds(400);
+// Windows of the settlement.
+constexpr auto epoch_length = std::chrono::minutes(1);
 constexpr auto drain_check_interval = milliseconds(50);
 
 caller_gate_limits make_gate_limits(kernel::host_resources const& resources)
@@ -72,6 +76,7 @@
         , m_settings(*context.own_settings().gateway)
         , m_interface(interface::find_interface(m_settings.interface_name))
         , m_events(context.shared<kernel::mailbox<events::gateway_event>>())
+        , m_outcomes(context.shared<kernel::mailbox<events::settle_request>>())
         , m_changed_settings(context.shared<kernel::snapshot<kernel::settings>>())
         , m_timer(m_loop.context())
         , m_dispatcher(context.own_settings(), make_actions(), context.own_metrics())
@@ -153,6 +158,10 @@
         {
             m_gate.reply(request, std::move(made));
         };
+        actions.settle = [this](gateway_request const& request, outcome result)
+        {
+            settle(request, result);
+        };
         actions.random = [this]()
         {
             return std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -160,6 +169,27 @@
         return actions;
     }
 
+    void settle(gateway_request const& request, outcome result)
+    {
+        events::settle_request settled;
+        auto const epoch = (request.arrived_at - m_started_at) / epoch_length;
+        settled.id = {m_context.own_settings().name,
+                      m_context.incarnation(),
+                      static_cast<std::uint32_t>(epoch),
+                      request.id};
+        settled.service = request.service;
+        settled.result = result;
+        if (m_outcomes.try_push(std::move(settled)))
+            return;
+        m_context.own_metrics()
+            .find_counter("pistachiohub_gateway_settlements_lost_total")
+            .increment();
+        kernel::log_event(kernel::log_level::error,
+                          "gateway",
+                          "settlement_lost",
+                          {{"id", std::string_view(request.id)}, {"outcome", to_string(result)}});
+    }
+
     caller_gate_events make_gate_events()
     {
         caller_gate_events events;
@@ -350,6 +380,8 @@
 
     http::server_reply answer_metrics(http::server_request const& wanted)
     {
+        if (wanted.path == "/v1/status")
+            return {http_ok, make_status(m_context, m_dispatcher, kernel::monotonic_now())};
         if (wanted.path != "/metrics")
             return {http_not_found, "{\"reason\":\"unknown_path\"}"};
         auto& metrics = m_context.own_metrics();
@@ -364,9 +396,11 @@
     kernel::gateway_settings m_settings;
     interface::deployment_interface const& m_interface;
     kernel::mailbox<events::gateway_event>& m_events;
+    kernel::mailbox<events::settle_request>& m_outcomes;
     kernel::snapshot_reader<kernel::settings> m_changed_settings;
     kernel::settings const* m_applied_settings = nullptr;
     std::mt19937_64 m_random{std::random_device{}()};
+    kernel::monotonic_time m_started_at = kernel::monotonic_now();
     kernel::event_loop m_loop;
     boost::asio::steady_timer m_timer;
     std::optional<kernel::monotonic_time> m_armed_for;
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -4,6 +4,7 @@
 /// A request of a caller on its way through the gateway.
 
 #include "kernel/clock.hpp"
+#include "libraries/outcome/outcome.hpp"
 #include "libraries/routing/routing_table.hpp"
 #include "plugins/gateway/message.hpp"
 #include "plugins/gateway/server_table.hpp"
@@ -61,10 +62,15 @@
     std::vector<std::string> tried;
     /// Whether a backend server may have run it.
     bool may_have_run = false;
+    /// Whether an answer of a backend server proves that it ran.
+    bool has_run = false;
 };
 
 using request_pointer = std::shared_ptr<gateway_request>;
 
+/// @returns what is known of a request that has ended, for the settlement.
+[[nodiscard]] outcome known_outcome(gateway_request const& request);
+
 /// How one send ended.
 enum class attempt_result
 {
--- a/plugins/store/settlement_flush.cpp
+++ b/plugins/store/settlement_flush.cpp
@@ -13,14 +13,6 @@
 // A large settlement is written less often: at most this many bytes a second.
 constexpr std::size_t bytes_per_second = std::size_t{64} << 10;
 
-kernel::duration interval_for(std::size_t size)
-{
-    auto const seconds = static_cast<double>(size) / static_cast<double>(bytes_per_second);
-    auto const stretched =
-        std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>(seconds));
-    return std::max<kernel::duration>(settlement_interval, stretched);
-}
-
 bool has_flush(object_store::read_result const& result, std::uint64_t flush)
 {
     try
@@ -36,11 +28,20 @@
 
 } // namespace
 
-settlement_flush::settlement_flush(settlement_ledger& counters)
+settlement_flush::settlement_flush(settlement_ledger& counters, kernel::duration interval)
     : m_ledger(counters)
+    , m_interval(interval)
 {
 }
 
+kernel::duration settlement_flush::interval_for(std::size_t size) const
+{
+    auto const seconds = static_cast<double>(size) / static_cast<double>(bytes_per_second);
+    auto const stretched =
+        std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>(seconds));
+    return std::max(m_interval, stretched);
+}
+
 std::optional<due_write> settlement_flush::next_write(kernel::monotonic_time now)
 {
     if (m_is_in_doubt || now < m_not_before || is_written())
@@ -110,6 +111,11 @@
         m_not_before = {};
 }
 
+void settlement_flush::hurry_after_failures()
+{
+    m_not_before = {};
+}
+
 bool settlement_flush::is_written() const
 {
     return m_written_generation == m_ledger.generation();
--- a/plugins/store/settlement_flush.hpp
+++ b/plugins/store/settlement_flush.hpp
@@ -12,7 +12,7 @@
 namespace pistachiohub::store
 {
 
-/// Shortest time between two writes of the settlement.
+/// Shortest time between two writes of the settlement, unless the settings give another.
 inline constexpr auto settlement_interval = std::chrono::seconds(1);
 
 /// A conditional update that is due.
@@ -28,7 +28,8 @@
 class settlement_flush
 {
 public:
-    explicit settlement_flush(settlement_ledger& counters);
+    explicit settlement_flush(settlement_ledger& counters,
+                              kernel::duration interval = settlement_interval);
 
     /// @returns the write that is due, or nothing.
     [[nodiscard]] std::optional<due_write> next_write(kernel::monotonic_time now);
@@ -45,6 +46,9 @@
     /// Makes the next write due at once unless the store is failing; used before the daemon exits.
     void hurry();
 
+    /// Makes the next call due at once also after failures.
+    void hurry_after_failures();
+
     /// @returns true when the store holds all counts.
     [[nodiscard]] bool is_written() const;
 
@@ -55,7 +59,10 @@
     void delay(kernel::monotonic_time now, double random);
     void accept(std::uint64_t version, kernel::monotonic_time now);
 
+    [[nodiscard]] kernel::duration interval_for(std::size_t size) const;
+
     settlement_ledger& m_ledger;
+    kernel::duration m_interval;
     std::uint64_t m_version = 0;
     std::uint64_t m_flush = 0;
     std::uint64_t m_written_generation = 0;
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -1,11 +1,7 @@
-#include "plugins/gateway/dispatcher.hpp"
-
-#include "plugins/gateway/affinity.hpp"
+#include "tests/gateway/dispatcher_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <map>
-
 namespace pistachiohub
 {
 
@@ -13,156 +9,9 @@
 {
 
 using gateway::attempt_result;
+using gateway_test::dispatcher_fixture;
 using std::chrono::milliseconds;
 
-struct delivered
-{
-    unsigned status = 0;
-    std::string body;
-    std::string retry_after;
-};
-
-class dispatcher_fixture
-{
-protected:
-    kernel::monotonic_time m_now{std::chrono::hours(1)};
-    kernel::metrics m_metrics;
-    std::vector<gateway::request_pointer> m_sent;
-    std::vector<gateway::request_pointer> m_cancelled;
-    std::map<std::uint64_t, delivered> m_replies;
-    double m_random = 0.5;
-    std::unique_ptr<gateway::dispatcher> m_dispatcher;
-    routing::routing_document m_document;
-    std::uint64_t m_last_number = 0;
-
-    dispatcher_fixture()
-    {
-        kernel::settings own;
-        own.name = "host-1";
-        own.failure_domain = "sve-a";
-        own.gateway.emplace();
-        own.gateway->region = "svealand";
-        own.gateway->region_of_domain = {
-            {"sve-a", "svealand"}, {"sve-b", "svealand"}, {"got-a", "gotaland"}};
-        own.gateway->bounds.extra_retries = 60;
-        gateway::dispatcher_actions actions;
-        actions.send = [this](gateway::request_pointer const& request, milliseconds)
-        {
-            m_sent.push_back(request);
-        };
-        actions.cancel = [this](gateway::request_pointer const& request)
-        {
-            m_cancelled.push_back(request);
-        };
-        actions.reply = [this](gateway::request_pointer const& request, gateway::answer&& made)
-        {
-            m_replies[request->number] = {
-                made.status,
-                made.body,
-                std::string(gateway::find_value(made.headers, "Retry-After"))};
-        };
-        actions.random = [this]()
-        {
-            return m_random;
-        };
-        m_dispatcher = std::make_unique<gateway::dispatcher>(own, std::move(actions), m_metrics);
-        fleet::entry_host host;
-        host.name = "host-1";
-        m_dispatcher->apply(
-            events::store_update<fleet::entry_host>{true, 1, {{host.name, 1, host}}}, m_now);
-        add_route("idempotent", "/i/", routing::request_kind::idempotent, "s");
-        add_route("once", "/o/", routing::request_kind::at_most_once, "s");
-        publish(1);
-    }
-
-    void add_route(std::string const& name,
-                   std::string const& prefix,
-                   routing::request_kind kind,
-                   std::string const& service)
-    {
-        routing::route route;
-        route.name = name;
-        route.host = "a.example";
-        route.path_prefix = prefix;
-        route.kind = kind;
-        route.timeout = milliseconds(1000);
-        route.target_latency = milliseconds(400);
-        route.most_attempts = 2;
-        route.split = {{service, 1}};
-        m_document.routes.push_back(route);
-    }
-
-    void publish(std::uint64_t version)
-    {
-        m_document.version = version;
-        if (m_document.services.empty())
-        {
-            routing::service service;
-            service.name = "s";
-            service.cold_requests_per_second = 5;
-            m_document.services.push_back(service);
-        }
-        m_dispatcher->apply(events::store_update<routing::routing_document>{
-            true, version, {{"main", version, m_document}}});
-    }
-
-    void add_server(std::string const& id,
-                    std::string const& domain = "sve-a",
-                    std::uint32_t slots = 1,
-                    milliseconds cold = milliseconds(0))
-    {
-        fleet::backend_server server;
-        server.id = id;
-        server.service = "s";
-        server.address = {"10.0.0.1", 80};
-        server.failure_domain = domain;
-        server.slots = slots;
-        server.cold_remaining = cold;
-        m_dispatcher->apply(
-            events::store_update<fleet::backend_server>{false, 1, {{id, 1, server}}}, m_now);
-        // Lets budgets of the fleet be computed.
-        m_now += milliseconds(300);
-        m_dispatcher->tick(m_now);
-    }
-
-    void remove_server(std::string const& id)
-    {
-        m_dispatcher->apply(
-            events::store_update<fleet::backend_server>{false, 2, {{id, 2, std::nullopt}}}, m_now);
-    }
-
-    gateway::request_pointer begin(std::string const& target,
-                                   std::string const& key = "",
-                                   milliseconds deadline = milliseconds(3000))
-    {
-        auto request = std::make_shared<gateway::gateway_request>();
-        request->number = ++m_last_number;
-        request->id = "id-" + std::to_string(request->number);
-        request->message = {"GET", target, {{"Host", "a.example"}}, ""};
-        if (!key.empty())
-            request->affinity_key = gateway::hash_text(key);
-        request->arrived_at = m_now;
-        request->caller_leaves_at = m_now + deadline;
-        m_dispatcher->begin(request, m_now);
-        return request;
-    }
-
-    void end(gateway::request_pointer const& request, attempt_result result, unsigned status = 200)
-    {
-        gateway::attempt_end ended;
-        ended.result = result;
-        ended.received.status = status;
-        ended.received.body = "of the server";
-        m_dispatcher->attempt_ended(request, std::move(ended), m_now);
-    }
-
-    [[nodiscard]] unsigned status_of(gateway::request_pointer const& request) const
-    {
-        auto const found = m_replies.find(request->number);
-        return found == m_replies.end() ? 0 : found->second.status;
-    }
-};
-
 } // namespace
 
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_answer_is_delivered_unchanged", "[gateway]")
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -1,9 +1,11 @@
 #include "kernel/plugin.hpp"
 #include "kernel/snapshot.hpp"
 #include "libraries/events/gateway_event.hpp"
+#include "libraries/events/store_command.hpp"
 #include "tests/support/duty_fixture.hpp"
 #include "tests/support/raw_connection.hpp"
 
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include <unistd.h>
@@ -14,6 +16,8 @@
 namespace
 {
 
+namespace json = boost::json;
+
 using std::chrono::milliseconds;
 using support::raw_connection;
 
@@ -455,4 +459,40 @@
     CHECK(text.find("pistachiohub_gateway_request_seconds_bucket") != std::string::npos);
 }
 
+// An operator must see what a gateway believes without a key for changes.
+TEST_CASE_METHOD(gateway_fixture, "gateway_status_tells_what_is_known", "[gateway][concurrent]")
+{
+    auto const answer = fetch(m_settings.gateway->metrics.port, "/v1/status");
+    REQUIRE(has_status(answer, "200"));
+    auto const status = json::parse(answer.substr(answer.find("\r\n\r\n") + 4)).as_object();
+    CHECK(status.at("name").as_string() == "host-1");
+    CHECK(status.at("configuration_version").to_number<int>() == 1);
+    CHECK(status.at("is_ready").as_bool());
+    auto const& servers = status.at("backend_servers").as_array();
+    REQUIRE(servers.size() == 1);
+    CHECK(servers[0].at("name").as_string() == "i-1");
+    CHECK(servers[0].at("state").as_string() == "live");
+}
+
+// Outcomes reach the ledger under the caller's id, before the caller can ask for them.
+TEST_CASE_METHOD(gateway_fixture, "gateway_outcomes_are_settled_by_id", "[gateway][concurrent]")
+{
+    auto caller = connect();
+    caller.send(post("a", "the body"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "bytes"));
+    REQUIRE(has_status(caller.receive_message(), "200"));
+    std::vector<events::settle_request> settled;
+    m_context.shared<kernel::mailbox<events::settle_request>>().drain(
+        [&settled](events::settle_request&& item)
+        {
+            settled.push_back(std::move(item));
+        });
+    REQUIRE(settled.size() == 1);
+    CHECK(identity::to_string(settled[0].id) == "host-1/1/0/a");
+    CHECK(settled[0].service == "s");
+    CHECK(settled[0].result == outcome::ran);
+}
+
 } // namespace pistachiohub
--- a/utilities/config.cpp
+++ b/utilities/config.cpp
@@ -1,5 +1,6 @@
 #include "kernel/settings.hpp"
 #include "libraries/configuration/document.hpp"
+#include "libraries/interface/interface.hpp"
 #include "utilities/tool_options.hpp"
 
 #include <boost/json.hpp>
@@ -155,6 +156,13 @@
     return exit_code::success;
 }
 
+/// Checks a configuration as the gateways of a deployment read it from the store.
+void check_routes(std::string const& interface_name, std::string text)
+{
+    object_store::object const read{{}, 0, std::move(text)};
+    static_cast<void>(interface::find_interface(interface_name).decode_configuration(read));
+}
+
 /// @returns what is wrong with the file, or an empty text.
 std::string find_fault(command_line const& options)
 {
@@ -162,9 +170,15 @@
     {
         if (options.has("settings"))
             static_cast<void>(kernel::parse_settings(read_file(options.text("settings"))));
+        else if (options.has("interface"))
+            check_routes(options.text("interface"), read_file(options.text("FILE")));
         else
             static_cast<void>(configuration::parse_configuration(read_file(options.text("FILE"))));
     }
+    catch (interface::document_error const& refused)
+    {
+        return refused.what();
+    }
     catch (kernel::settings_error const& refused)
     {
         return refused.what();
@@ -181,6 +195,7 @@
     command_line options("config check FILE | config check --settings FILE",
                          "Checks a configuration document or a settings file.");
     options.option("settings", "check this settings file").argument("FILE");
+    options.option("interface", "the configuration is one of gateways with this interface");
     if (!options.parse(arguments))
         return exit_code::success;
     if (options.has("settings") == options.has("FILE"))
--- a/utilities/settle.cpp
+++ b/utilities/settle.cpp
@@ -1,3 +1,4 @@
+#include "libraries/interface/interface.hpp"
 #include "libraries/ledger/settlement_report.hpp"
 #include "libraries/object_store/object_store.hpp"
 #include "utilities/tool_options.hpp"
@@ -49,9 +50,19 @@
     return texts;
 }
 
+constexpr http::client_limits store_limits{std::chrono::seconds(2), std::chrono::seconds(60)};
+
+/// Gateways keep no journal: a request that may run once is sent again only after proof.
+ledger_texts read_from_store(kernel::endpoint const& endpoint,
+                             interface::deployment_interface const& spoken)
+{
+    object_store::client store(endpoint, store_limits, spoken.store);
+    return {read_kind(store, spoken.kinds.settlements), {}};
+}
+
 ledger_texts read_from_store(kernel::endpoint const& endpoint)
 {
-    object_store::client store(endpoint, {std::chrono::seconds(2), std::chrono::seconds(60)});
+    object_store::client store(endpoint, store_limits);
     return {read_kind(store, "settlement"), read_kind(store, "journal")};
 }
 
@@ -92,7 +103,9 @@
     return result;
 }
 
-std::vector<described_id> describe_ids(std::string const& path, parsed_ledgers const& ledgers)
+/// @param is_plain whether ids may be those that callers chose, without owner and incarnation.
+std::vector<described_id>
+describe_ids(std::string const& path, parsed_ledgers const& ledgers, bool is_plain)
 {
     std::vector<described_id> described;
     std::istringstream lines(read_file(path));
@@ -103,6 +116,11 @@
         if (line.empty())
             continue;
         auto const id = identity::parse_request_id(line);
+        if (!id && is_plain)
+        {
+            described.push_back({line, ledger::describe_callers_id(line, ledgers.settlements)});
+            continue;
+        }
         if (!id)
         {
             std::string text(path);
@@ -154,7 +172,10 @@
 exit_code settle(command_line const& options)
 {
     ledger_texts texts;
-    if (options.has("store"))
+    if (options.has("store") && options.has("interface"))
+        texts = read_from_store(parse_endpoint(options.text("store")),
+                                interface::find_interface(options.text("interface")));
+    else if (options.has("store"))
         texts = read_from_store(parse_endpoint(options.text("store")));
     else
     {
@@ -169,7 +190,7 @@
     auto const report = ledger::make_report(ledgers.settlements, ledgers.journals);
     std::vector<described_id> ids;
     if (options.has("ids"))
-        ids = describe_ids(options.text("ids"), ledgers);
+        ids = describe_ids(options.text("ids"), ledgers, options.has("interface"));
     if (options.is_json())
         print_json(report, ids, ledgers.unreadable);
     else
@@ -186,6 +207,7 @@
         "are unresolved. Reads the store itself or through a daemon's admin port.");
     options.admin_options();
     options.option("store", "the platform's object API, as address:port");
+    options.option("interface", "interface of the gateways whose settlement the store holds");
     options.option("ids", "file with one id a line; prints what the ledger says of each");
     if (!options.parse(arguments))
         return exit_code::success;
--- a/utilities/status.cpp
+++ b/utilities/status.cpp
@@ -34,9 +34,17 @@
 
 void print_status(json::object const& status)
 {
-    for (auto const* const key :
-         {"name", "incarnation", "failure_domain", "configuration_version", "is_draining"})
+    for (auto const* const key : {"name",
+                                  "incarnation",
+                                  "failure_domain",
+                                  "configuration_version",
+                                  "is_draining",
+                                  "is_ready"})
+    {
+        if (!status.contains(key))
+            continue;
         std::cout << key << ": " << shown(status.at(key)) << '\n';
+    }
     print_rows("members", status.at("members"));
     print_rows("backend_servers", status.at("backend_servers"));
     std::cout << "counters: " << status.at("counters").as_object().size() << '\n';
@@ -45,9 +53,17 @@
                   << '\n';
 }
 
+http::response ask_gateway(kernel::endpoint const& metrics)
+{
+    http::client_limits const limits{std::chrono::seconds(2), std::chrono::seconds(10)};
+    return http::client(metrics.address, metrics.port, limits).send({"GET", "/v1/status", {}, {}});
+}
+
 exit_code show_status(command_line const& options)
 {
-    auto const answer = admin_client(options).get("/v1/status");
+    auto const answer = options.has("gateway")
+                            ? ask_gateway(parse_endpoint(options.text("gateway")))
+                            : admin_client(options).get("/v1/status");
     if (answer.status != http_ok)
         return report_refusal(answer);
     if (options.is_json())
@@ -62,7 +78,9 @@
     command_line options("status [options]",
                          "Prints a daemon's configuration version, members, backend servers and\n"
                          "counters.");
-    if (!options.admin_options().parse(arguments))
+    options.admin_options();
+    options.option("gateway", "metrics address of a gateway, as address:port; needs no key");
+    if (!options.parse(arguments))
         return exit_code::success;
     return run_tool(
         [&options]()
