discovery: Let one daemon of a group read the store for the others

Each daemon read four kinds itself and wrote a report every 1.5 s. Change: live hosts form groups of up to sixteen in a failure domain (a region for small domains). The first reads the store, the others ask it for changes by long polls, and its report names the followers that asked in the last 0.9 s, so that these report every 20 s only. Ages are bounded: see docs/platform.md. Ruled out: one reader for all; stale reads; neighbours that watch each other (docs/platform.md).

--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -101,6 +101,8 @@
     result.readiness = reader.required_endpoint("readiness");
     result.directory = reader.required_endpoint("directory");
     result.metrics = reader.required_endpoint("metrics");
+    if (reader.find("relay") != nullptr)
+        result.relay = reader.required_endpoint("relay");
     result.server_heartbeat = time_ms_or(reader, "server_heartbeat_ms", result.server_heartbeat);
     result.settlement_interval =
         time_s_or(reader, "settlement_interval_s", result.settlement_interval);
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -63,6 +63,8 @@
     endpoint readiness;
     endpoint directory;
     endpoint metrics;
+    /// Where other daemons read what this one knows of the store; port 0 if nowhere.
+    endpoint relay;
     /// Interval at which backend servers report to the store.
     std::chrono::milliseconds server_heartbeat{1500};
     /// Interval at which the settlement is written to the store. A killed daemon loses the counts
--- a/libraries/fleet/backend_server.hpp
+++ b/libraries/fleet/backend_server.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace pistachiohub::fleet
 {
@@ -28,12 +29,23 @@
     std::uint64_t started_at_ms = 0;
 };
 
+/// One start of the daemon of an entry host.
+struct host_incarnation
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(host_incarnation const&, host_incarnation const&) = default;
+};
+
 /// An entry host as its daemon registered itself.
 struct entry_host
 {
     std::string name;
     /// Where callers connect.
     kernel::endpoint callers;
+    /// Where other daemons read the store's changes, on the same address; 0 if nowhere.
+    std::uint16_t relay_port = 0;
     std::string failure_domain;
     std::string region;
     std::uint64_t incarnation = 0;
@@ -42,6 +54,9 @@
     bool is_leaving = false;
     /// Weight among the entry hosts of its failure domain.
     double capacity = 1;
+    /// Daemons that read the store through this one and were running at its report. They report
+    /// rarely themselves.
+    std::vector<host_incarnation> followers;
 };
 
 } // namespace pistachiohub::fleet
--- a/libraries/fleet/entry_host_document.cpp
+++ b/libraries/fleet/entry_host_document.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <exception>
+#include <utility>
 
 namespace pistachiohub::fleet
 {
@@ -16,14 +17,19 @@
 
 std::string to_document(entry_host const& host)
 {
+    json::object followers;
+    for (auto const& follower : host.followers)
+        followers[follower.name] = follower.incarnation;
     return json::serialize(json::object{{"address", host.callers.address},
                                         {"caller_port", host.callers.port},
+                                        {"relay_port", host.relay_port},
                                         {"failure_domain", host.failure_domain},
                                         {"region", host.region},
                                         {"incarnation", host.incarnation},
                                         {"report", host.report},
                                         {"is_leaving", host.is_leaving},
-                                        {"capacity", host.capacity}});
+                                        {"capacity", host.capacity},
+                                        {"followers", std::move(followers)}});
 }
 
 entry_host parse_entry_host(std::string_view name, std::string_view text)
@@ -36,12 +42,16 @@
         host.name = name;
         host.callers.address = std::string(members.at("address").as_string());
         host.callers.port = members.at("caller_port").to_number<std::uint16_t>();
+        host.relay_port = members.at("relay_port").to_number<std::uint16_t>();
         host.failure_domain = std::string(members.at("failure_domain").as_string());
         host.region = std::string(members.at("region").as_string());
         host.incarnation = members.at("incarnation").to_number<std::uint64_t>();
         host.report = members.at("report").to_number<std::uint64_t>();
         host.is_leaving = members.at("is_leaving").as_bool();
         host.capacity = members.at("capacity").to_number<double>();
+        for (auto const& follower : members.at("followers").as_object())
+            host.followers.push_back(
+                {std::string(follower.key()), follower.value().to_number<std::uint64_t>()});
         return host;
     }
     // Boost.JSON reports a document of another form by exceptions of the standard library.
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -253,6 +253,11 @@
     return own.exchange(message, read_timeout);
 }
 
+void client::disconnect()
+{
+    m_implementation->close();
+}
+
 void client::cancel()
 {
     m_implementation->is_cancelled.store(true);
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -111,6 +111,10 @@
     /// As above, with another read timeout for this exchange.
     [[nodiscard]] response send(request const& wanted, kernel::duration read_timeout);
 
+    /// Closes the connection, so that the next exchange opens a new one. Not to be called during
+    /// send().
+    void disconnect();
+
     /// Ends the current exchange at once and makes all later ones fail.
     void cancel();
 
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -163,6 +163,11 @@
     }
 }
 
+void client::disconnect()
+{
+    m_http.disconnect();
+}
+
 void client::cancel()
 {
     m_http.cancel();
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -72,6 +72,9 @@
     [[nodiscard]] write_result
     remove(std::string_view kind, std::string_view name, std::uint64_t expected_version);
 
+    /// Closes the connection, so that the next call opens a new one.
+    void disconnect();
+
     /// Ends the current call and makes all later ones fail with `status::cancelled`.
     void cancel();
 
--- /dev/null
+++ b/plugins/discovery/feed_history.cpp
@@ -0,0 +1,94 @@
+#include "plugins/discovery/feed_history.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiohub::discovery
+{
+
+void record(kind_history& history, bool is_complete, object_store::list_result const& read)
+{
+    history.revision = read.revision;
+    if (is_complete)
+    {
+        history.batches.clear();
+        history.complete_since = read.revision;
+        return;
+    }
+    if (read.objects.empty())
+        return;
+    history.batches.push_back({read.revision, read.objects});
+    if (history.batches.size() <= most_batches)
+        return;
+    history.complete_since = history.batches.front().revision;
+    history.batches.pop_front();
+}
+
+history_state
+state_since(kind_history const& history, std::uint64_t revision, kernel::monotonic_time oldest)
+{
+    if (!history.is_direct || history.confirmed_at < oldest)
+        return history_state::is_stale;
+    if (revision < history.complete_since)
+        return history_state::is_gone;
+    bool const has_changes = !history.batches.empty() && history.batches.back().revision > revision;
+    return has_changes ? history_state::has_changes : history_state::is_current;
+}
+
+object_store::list_result changes_since(kind_history const& history, std::uint64_t revision)
+{
+    object_store::list_result changes;
+    changes.end = object_store::status::ok;
+    changes.revision = std::max(history.revision, revision);
+    for (auto const& batch : history.batches)
+    {
+        // A batch is told whole: a part of it could end with a removal that was undone within it.
+        if (batch.revision > revision)
+            changes.objects.insert(
+                changes.objects.end(), batch.objects.begin(), batch.objects.end());
+    }
+    return changes;
+}
+
+void feed_histories::update(std::string_view kind,
+                            bool is_direct,
+                            bool is_complete,
+                            object_store::list_result const& read,
+                            kernel::monotonic_time confirmed_at)
+{
+    std::lock_guard const lock(m_mutex);
+    auto found = m_histories.find(kind);
+    if (found == m_histories.end())
+        found = m_histories.emplace(std::string(kind), kind_history{}).first;
+    found->second.is_direct = is_direct;
+    found->second.confirmed_at = confirmed_at;
+    record(found->second, is_complete, read);
+    if (m_wake_up)
+        m_wake_up();
+}
+
+history_state feed_histories::state(std::string_view kind,
+                                    std::uint64_t revision,
+                                    kernel::monotonic_time oldest) const
+{
+    std::lock_guard const lock(m_mutex);
+    auto const found = m_histories.find(kind);
+    return found == m_histories.end() ? history_state::is_stale
+                                      : state_since(found->second, revision, oldest);
+}
+
+object_store::list_result feed_histories::changes(std::string_view kind,
+                                                  std::uint64_t revision) const
+{
+    std::lock_guard const lock(m_mutex);
+    auto const found = m_histories.find(kind);
+    return changes_since(found == m_histories.end() ? kind_history{} : found->second, revision);
+}
+
+void feed_histories::set_wake_up(std::function<void()> wake_up)
+{
+    std::lock_guard const lock(m_mutex);
+    m_wake_up = std::move(wake_up);
+}
+
+} // namespace pistachiohub::discovery
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -6,6 +6,7 @@
 #include "libraries/fleet/entry_host_document.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/object_store/object_store.hpp"
+#include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/report_interval.hpp"
 #include "plugins/store/wake_signal.hpp"
 
@@ -22,6 +23,7 @@
 
 constexpr auto call_timeout = milliseconds(1000);
 constexpr int start_order = 115;
+constexpr auto check_interval = milliseconds(250);
 // Link bandwidth on which a full processor share of requests needs no more.
 constexpr double link_mbps_of_full_core = 100;
 
@@ -39,6 +41,7 @@
     fleet::entry_host host;
     host.name = own.name;
     host.callers = gateway.callers;
+    host.relay_port = gateway.relay.port;
     host.failure_domain = own.failure_domain;
     host.region = gateway.region;
     host.incarnation = incarnation;
@@ -55,6 +58,7 @@
         , m_interface(interface::find_interface(context.own_settings().gateway->interface_name))
         , m_client(context.own_settings().store, make_limits(), m_interface.store)
         , m_record(make_record(context.own_settings(), context.incarnation()))
+        , m_followers(context.shared<relay_followers>())
     {
         context.on_drain(
             [this]()
@@ -65,12 +69,11 @@
 
     void run() override
     {
-        auto next = kernel::monotonic_now();
         while (!m_signal.is_stopping())
         {
-            write();
-            next = std::max(next + report_interval, kernel::monotonic_now());
-            m_signal.wait_until(next);
+            if (is_due(kernel::monotonic_now()))
+                write();
+            m_signal.wait_until(kernel::monotonic_now() + check_interval);
         }
         remove();
     }
@@ -81,9 +84,20 @@
     }
 
 private:
+    // A daemon from which this one reads reports it too.
+    [[nodiscard]] bool is_due(kernel::monotonic_time now) const
+    {
+        if (m_record.report == 0 || m_record.is_leaving != m_context.is_draining())
+            return true;
+        bool const is_reported = m_last_end == status::ok && m_followers.is_known_to_relay(now);
+        return now - m_reported_at >= (is_reported ? follower_report_interval : report_interval);
+    }
+
     void write()
     {
+        m_reported_at = kernel::monotonic_now();
         m_record.is_leaving = m_context.is_draining();
+        m_record.followers = m_followers.living(m_reported_at);
         ++m_record.report;
         auto result = write_once();
         // The object of an earlier incarnation of this host, or of a write whose answer was lost.
@@ -139,6 +153,8 @@
     interface::deployment_interface const& m_interface;
     object_store::client m_client;
     fleet::entry_host m_record;
+    relay_followers& m_followers;
+    kernel::monotonic_time m_reported_at;
     store::wake_signal m_signal;
     std::uint64_t m_version = 0;
     status m_last_end = status::missing;
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -1,6 +1,8 @@
 #include "plugins/discovery/object_feed.hpp"
 
 #include "kernel/log.hpp"
+#include "plugins/discovery/relay_dialect.hpp"
+#include "plugins/discovery/relay_followers.hpp"
 
 #include <algorithm>
 
@@ -22,6 +24,10 @@
 constexpr auto longest_pause = milliseconds(500);
 constexpr auto delivery_retry = milliseconds(10);
 constexpr unsigned most_doublings = 3;
+// Time for which a daemon that failed is not asked again.
+constexpr auto relay_avoidance = milliseconds(1000);
+// A watch that answers at once.
+constexpr auto no_wait = milliseconds(1);
 
 http::client_limits make_limits()
 {
@@ -51,6 +57,8 @@
     , m_rhythm(rhythm)
     , m_convert(std::move(convert))
     , m_gateway(context.shared<kernel::mailbox<events::gateway_event>>())
+    , m_histories(context.shared<feed_histories>())
+    , m_relay(context.shared<kernel::snapshot<fleet::relay_choice>>())
     , m_client(context.own_settings().store, make_limits(), spoken.store)
 {
 }
@@ -65,27 +73,97 @@
 {
     m_signal.stop();
     m_client.cancel();
+    std::lock_guard const lock(m_relay_mutex);
+    if (m_relay_client)
+        m_relay_client->cancel();
 }
 
 void object_feed::poll()
 {
-    auto const earliest_next = kernel::monotonic_now() + m_rhythm.spacing;
+    auto const* const relay = m_relay.get();
+    bool const has_relay = relay != nullptr && !relay->host.empty() && m_revision &&
+                           kernel::monotonic_now() >= m_relay_avoided_until;
+    if (!has_relay || !poll_relay(*relay))
+        poll_store();
+}
+
+bool object_feed::poll_relay(fleet::relay_choice const& relay)
+{
+    auto const asked_at = kernel::monotonic_now();
+    auto const read = client_of(relay).watch(
+        asked_kind(m_kind, {m_context.own_settings().name, m_context.incarnation()}),
+        *m_revision,
+        m_rhythm.relay_wait);
+    count_read("relay", read.end);
+    if (read.end == status::ok)
+    {
+        m_histories.update(m_kind, false, false, read, asked_at);
+        m_context.shared<relay_followers>().note_answer(kernel::monotonic_now());
+        accept(false, read);
+        return true;
+    }
+    if (read.end == status::cancelled)
+        return true;
+    m_relay_avoided_until = kernel::monotonic_now() + relay_avoidance;
+    m_must_catch_up = true;
+    // The connection to the store has been idle and may be silent by now.
+    m_client.disconnect();
+    kernel::log_event(kernel::log_level::info,
+                      "discovery",
+                      "relay_left",
+                      {{"kind", m_kind},
+                       {"host", std::string_view(relay.host)},
+                       {"result", to_string(read.end)},
+                       {"revision", *m_revision}});
+    return false;
+}
+
+object_store::client& object_feed::client_of(fleet::relay_choice const& relay)
+{
+    if (m_relay_client && m_relay_address == relay.address)
+        return *m_relay_client;
+    http::client_limits limits;
+    limits.connect_timeout = m_rhythm.relay_timeout;
+    limits.read_timeout = m_rhythm.relay_timeout;
+    std::lock_guard const lock(m_relay_mutex);
+    m_relay_address = relay.address;
+    m_relay_client = std::make_unique<object_store::client>(relay.address, limits, relay_dialect());
+    return *m_relay_client;
+}
+
+void object_feed::poll_store()
+{
+    auto const asked_at = kernel::monotonic_now();
+    auto const earliest_next = asked_at + m_rhythm.spacing;
     bool const is_complete = !m_revision.has_value();
-    auto const read = is_complete ? m_client.list(m_kind)
-                                  : m_client.watch(m_kind, *m_revision, m_rhythm.watch_wait);
-    m_context.own_metrics()
-        .find_counter("pistachiohub_discovery_reads_total",
-                      {{"kind", m_kind}, {"result", to_string(read.end)}})
-        .increment();
+    auto const wait = m_must_catch_up ? no_wait : m_rhythm.watch_wait;
+    auto const read =
+        is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_revision, wait);
+    count_read("store", read.end);
     if (read.end != status::ok)
         return handle_failure(read.end);
+    m_must_catch_up = false;
     if (m_failures > 0)
         report_contact(true, read.end);
     m_failures = 0;
+    m_histories.update(m_kind, true, is_complete, read, asked_at);
+    accept(is_complete, read);
+    m_signal.wait_until(earliest_next);
+}
+
+void object_feed::accept(bool is_complete, object_store::list_result const& read)
+{
     m_revision = read.revision;
     if (is_complete || !read.objects.empty())
         deliver(m_convert(is_complete, read));
-    m_signal.wait_until(earliest_next);
+}
+
+void object_feed::count_read(std::string_view source, status end)
+{
+    m_context.own_metrics()
+        .find_counter("pistachiohub_discovery_reads_total",
+                      {{"kind", m_kind}, {"result", to_string(end)}, {"source", source}})
+        .increment();
 }
 
 void object_feed::handle_failure(status end)
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -5,13 +5,18 @@
 
 #include "kernel/mailbox.hpp"
 #include "kernel/plugin.hpp"
+#include "kernel/snapshot.hpp"
 #include "libraries/events/gateway_event.hpp"
+#include "libraries/fleet/relay_choice.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/object_store/object_store.hpp"
+#include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/rhythm.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <string>
@@ -19,7 +24,8 @@
 namespace pistachiohub::discovery
 {
 
-/// Reads all objects of a kind once, then follows changes by watches.
+/// Reads all objects of a kind once, then follows changes by watches: of another daemon that reads
+/// the store for this one, or else of the store.
 class object_feed : public kernel::duty
 {
 public:
@@ -38,6 +44,13 @@
 
 private:
     void poll();
+    void poll_store();
+    /// Reads from another daemon.
+    /// @returns false when the store is to be read instead.
+    [[nodiscard]] bool poll_relay(fleet::relay_choice const& relay);
+    [[nodiscard]] object_store::client& client_of(fleet::relay_choice const& relay);
+    void accept(bool is_complete, object_store::list_result const& read);
+    void count_read(std::string_view source, object_store::status end);
     void handle_failure(object_store::status end);
     void report_contact(bool is_reachable, object_store::status end);
     void deliver(events::gateway_event const& event);
@@ -47,7 +60,16 @@
     feed_rhythm m_rhythm;
     convert_function m_convert;
     kernel::mailbox<events::gateway_event>& m_gateway;
+    feed_histories& m_histories;
+    kernel::snapshot_reader<fleet::relay_choice> m_relay;
     object_store::client m_client;
+    /// Guards the pointer, which request_stop() reads from another thread.
+    std::mutex m_relay_mutex;
+    std::unique_ptr<object_store::client> m_relay_client;
+    kernel::endpoint m_relay_address;
+    kernel::monotonic_time m_relay_avoided_until;
+    /// Changes may have been missed, so the next call must not wait.
+    bool m_must_catch_up = false;
     store::wake_signal m_signal;
     std::mt19937_64 m_random{std::random_device{}()};
     /// Missing until all objects were read.
--- /dev/null
+++ b/plugins/discovery/relay_dialect.cpp
@@ -0,0 +1,108 @@
+#include "plugins/discovery/relay_dialect.hpp"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace pistachiohub::discovery
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::string_view path_prefix = "/v1/changes/";
+constexpr std::string_view after_key = "after=";
+constexpr std::string_view wait_key = "&wait_ms=";
+
+http::request
+make_watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait)
+{
+    std::string target(path_prefix);
+    target.append(kind).append("?").append(after_key).append(std::to_string(revision));
+    target.append(wait_key).append(std::to_string(wait.count()));
+    return {"GET", std::move(target), {}, {}};
+}
+
+object_store::page decode_changes(std::string_view body)
+{
+    auto const document = json::parse(body);
+    auto const& members = document.as_object();
+    object_store::page result;
+    result.revision = members.at("revision").to_number<std::uint64_t>();
+    for (auto const& item : members.at("objects").as_array())
+    {
+        auto const& fields = item.as_object();
+        object_store::object changed;
+        changed.name = std::string(fields.at("name").as_string());
+        changed.version = fields.at("version").to_number<std::uint64_t>();
+        changed.value = std::string(fields.at("value").as_string());
+        changed.observed = std::string(fields.at("observed").as_string());
+        changed.is_removed = fields.at("is_removed").as_bool();
+        result.objects.push_back(std::move(changed));
+    }
+    return result;
+}
+
+template<class Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    Number number = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [position, failure] = std::from_chars(text.data(), end, number);
+    if (failure != std::errc{} || position != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+object_store::dialect const& relay_dialect()
+{
+    static auto const spoken = []()
+    {
+        auto dialect = object_store::native_dialect();
+        dialect.make_watch = make_watch;
+        dialect.decode_changes = decode_changes;
+        return dialect;
+    }();
+    return spoken;
+}
+
+std::optional<change_query> parse_change_query(std::string_view path, std::string_view query)
+{
+    if (!path.starts_with(path_prefix) || !query.starts_with(after_key))
+        return std::nullopt;
+    path.remove_prefix(path_prefix.size());
+    query.remove_prefix(after_key.size());
+    auto const host = path.find('/');
+    auto const incarnation = path.rfind('/');
+    auto const wait = query.find(wait_key);
+    if (host == incarnation || wait == std::string_view::npos)
+        return std::nullopt;
+    auto const number = parse_number<std::uint64_t>(path.substr(incarnation + 1));
+    auto const revision = parse_number<std::uint64_t>(query.substr(0, wait));
+    auto const wait_ms = parse_number<std::uint32_t>(query.substr(wait + wait_key.size()));
+    if (!number || !revision || !wait_ms)
+        return std::nullopt;
+    return change_query{std::string(path.substr(0, host)),
+                        {std::string(path.substr(host + 1, incarnation - host - 1)), *number},
+                        *revision,
+                        std::chrono::milliseconds(*wait_ms)};
+}
+
+std::string encode_changes(object_store::list_result const& changes)
+{
+    json::array objects;
+    for (auto const& changed : changes.objects)
+        objects.push_back({{"name", changed.name},
+                           {"version", changed.version},
+                           {"value", changed.value},
+                           {"observed", changed.observed},
+                           {"is_removed", changed.is_removed}});
+    return json::serialize(
+        json::object{{"revision", changes.revision}, {"objects", std::move(objects)}});
+}
+
+} // namespace pistachiohub::discovery
--- a/plugins/discovery/report_interval.hpp
+++ b/plugins/discovery/report_interval.hpp
@@ -12,4 +12,7 @@
 /// half missed reports.
 inline constexpr std::chrono::milliseconds report_interval{1500};
 
+/// Interval between two reports of an entry host that another one reports as its follower.
+inline constexpr std::chrono::milliseconds follower_report_interval{20000};
+
 } // namespace pistachiohub::discovery
--- a/plugins/discovery/rhythm.cpp
+++ b/plugins/discovery/rhythm.cpp
@@ -9,41 +9,61 @@
 using std::chrono::milliseconds;
 
 constexpr auto rare_spacing = milliseconds(50);
-// A batch is read at half of its share of the bound, because the change may come just after a call.
-constexpr double batches_in_bound = 1.5;
+// Parts of a bound. What two calls of the store know is as old as both of them together, because
+// the first may have waited on a history that was forgotten.
+constexpr double part_for_rare_watch = 0.25;
+constexpr double part_for_batch_watch = 0.2;
+constexpr double part_for_batch_spacing = 0.3;
+constexpr double part_for_age = 0.58;
+constexpr double part_for_relay_wait = 0.2;
+constexpr double part_for_relay_timeout = 0.12;
 
-milliseconds usable(milliseconds bound)
+milliseconds part_of(milliseconds bound, double part)
 {
     return std::chrono::duration_cast<milliseconds>(
-        std::chrono::duration<double, std::milli>(bound) * part_of_bound);
+        std::chrono::duration<double, std::milli>(bound) * part);
 }
 
-milliseconds batch_spacing(milliseconds bound)
+feed_rhythm make_rhythm(milliseconds bound, milliseconds watch_wait, milliseconds spacing)
 {
-    return std::chrono::duration_cast<milliseconds>(
-        std::chrono::duration<double, std::milli>(usable(bound)) / batches_in_bound);
+    return {watch_wait,
+            spacing,
+            part_of(bound, part_for_age),
+            part_of(bound, part_for_relay_wait),
+            part_of(bound, part_for_relay_timeout)};
+}
+
+feed_rhythm rare_rhythm(milliseconds bound)
+{
+    return make_rhythm(bound, part_of(bound, part_for_rare_watch), rare_spacing);
+}
+
+feed_rhythm batch_rhythm(milliseconds bound)
+{
+    return make_rhythm(
+        bound, part_of(bound, part_for_batch_watch), part_of(bound, part_for_batch_spacing));
 }
 
 } // namespace
 
 feed_rhythm configuration_rhythm(kernel::gateway_bounds const& bounds)
 {
-    return {usable(bounds.configuration_apply), rare_spacing};
+    return rare_rhythm(bounds.configuration_apply);
 }
 
 feed_rhythm evacuation_rhythm(kernel::gateway_bounds const& bounds)
 {
-    return {usable(bounds.evacuation), rare_spacing};
+    return rare_rhythm(bounds.evacuation);
 }
 
 feed_rhythm server_rhythm(kernel::gateway_bounds const& bounds)
 {
-    return {batch_spacing(bounds.server_drain), batch_spacing(bounds.server_drain)};
+    return batch_rhythm(bounds.server_drain);
 }
 
 feed_rhythm entry_host_rhythm(kernel::gateway_bounds const& bounds)
 {
-    return {batch_spacing(bounds.host_silence), batch_spacing(bounds.host_silence)};
+    return batch_rhythm(bounds.host_silence);
 }
 
 } // namespace pistachiohub::discovery
--- a/plugins/discovery/rhythm.hpp
+++ b/plugins/discovery/rhythm.hpp
@@ -10,22 +10,26 @@
 namespace pistachiohub::discovery
 {
 
-/// How often one kind is read.
+/// How often one kind is read. A change is in force within its bound also when the store forgets
+/// its history while a watch waits (the next call finds the change then), and when another daemon
+/// from which this one reads is lost at any moment: `longest_age`, `relay_wait` and `relay_timeout`
+/// together leave a tenth of the bound for the call to the store that follows.
 struct feed_rhythm
 {
-    /// How long a watch waits for a change. A store that forgets its history while a watch waits
-    /// may never report the changes that were forgotten, so they are found by the next call only.
+    /// How long a watch of the store waits for a change.
     std::chrono::milliseconds watch_wait;
-    /// Shortest time between two calls. Kinds that change all the time are read in batches.
+    /// Shortest time between two calls of the store. Kinds that change all the time are read in
+    /// batches.
     std::chrono::milliseconds spacing;
+    /// Age above which a daemon passes nothing on: two calls of the store fit.
+    std::chrono::milliseconds longest_age;
+    /// How long a watch of another daemon waits for a change.
+    std::chrono::milliseconds relay_wait;
+    /// Time after which the answer of another daemon is late.
+    std::chrono::milliseconds relay_timeout;
 };
 
-/// Part of a bound within which a change is read. The rest covers the call, a repeated one, and the
-/// requests on their way.
-inline constexpr double part_of_bound = 0.6;
-
-/// Each daemon calls for each kind. Configurations and evacuations are rare; a waiting watch brings
-/// them at once.
+/// Configurations and evacuations are rare; a waiting watch brings them at once.
 [[nodiscard]] feed_rhythm configuration_rhythm(kernel::gateway_bounds const& bounds);
 [[nodiscard]] feed_rhythm evacuation_rhythm(kernel::gateway_bounds const& bounds);
 
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -1,6 +1,7 @@
 #include "plugins/gateway/entry_hosts.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pistachiohub::gateway
 {
@@ -28,6 +29,36 @@
     return known.record.incarnation != read.incarnation || known.record.report != read.report;
 }
 
+/// @returns this host and the live ones with the same value of `place` that pass on what they read.
+std::vector<fleet::entry_host const*> select_group(host_table const& table,
+                                                   kernel::monotonic_time now,
+                                                   std::string fleet::entry_host::*place)
+{
+    std::vector<fleet::entry_host const*> group{&table.own};
+    for (auto const& [name, host] : table.hosts)
+    {
+        if (host.record.*place == table.own.*place && host.record.relay_port != 0 &&
+            is_live(table, host, now))
+            group.push_back(&host.record);
+    }
+    return group;
+}
+
+// A host that reads the store for others reports them as well.
+void confirm_followers(host_table& table,
+                       fleet::entry_host const& reader,
+                       kernel::monotonic_time now)
+{
+    for (auto const& follower : reader.followers)
+    {
+        auto const found = table.hosts.find(follower.name);
+        if (found == table.hosts.end() || found->second.record.incarnation != follower.incarnation)
+            continue;
+        found->second.is_confirmed = true;
+        found->second.reported_at = now;
+    }
+}
+
 } // namespace
 
 void apply(host_table& table,
@@ -51,7 +82,11 @@
     for (auto const& read : update.changes)
     {
         if (read.name == table.own.name)
+        {
+            if (read.record && !update.is_complete)
+                confirm_followers(table, *read.record, now);
             continue;
+        }
         if (!read.record)
         {
             table.hosts.erase(read.name);
@@ -60,6 +95,8 @@
         auto& host = table.hosts[read.name];
         if (is_new_report(host, *read.record))
         {
+            if (!update.is_complete)
+                confirm_followers(table, *read.record, now);
             // A list shows what lies in the store; only a change shows that somebody wrote now.
             host.is_confirmed = !update.is_complete || host.record.report > 0;
             host.reported_at = now;
@@ -99,6 +136,25 @@
     return names;
 }
 
+fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now)
+{
+    auto group = select_group(table, now, &fleet::entry_host::failure_domain);
+    if (group.size() < fewest_of_domain)
+        group = select_group(table, now, &fleet::entry_host::region);
+    auto const comes_before = [](fleet::entry_host const* left, fleet::entry_host const* right)
+    {
+        return std::tie(left->failure_domain, left->name) <
+               std::tie(right->failure_domain, right->name);
+    };
+    std::sort(group.begin(), group.end(), comes_before);
+    auto const own = std::find(group.begin(), group.end(), &table.own) - group.begin();
+    auto const position = static_cast<std::size_t>(own);
+    auto const& reader = *group[position - position % hosts_of_one_reader];
+    if (&reader == &table.own)
+        return {};
+    return {reader.name, {reader.callers.address, reader.relay_port}};
+}
+
 std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
                                                  std::string_view region,
                                                  std::string_view failure_domain,
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -5,6 +5,7 @@
 
 #include "kernel/clock.hpp"
 #include "libraries/events/gateway_event.hpp"
+#include "libraries/fleet/relay_choice.hpp"
 #include "libraries/routing/routing_table.hpp"
 
 #include <string>
@@ -66,6 +67,20 @@
 [[nodiscard]] std::vector<std::string> sharing_hosts(host_table const& table,
                                                      kernel::monotonic_time now);
 
+/// Hosts of which one reads the store for the others, at most.
+inline constexpr std::size_t hosts_of_one_reader = 16;
+
+/// Hosts of a failure domain below which the hosts of its region form groups. Bytes within a domain
+/// cost less.
+inline constexpr std::size_t fewest_of_domain = 4;
+
+/// Chooses the host from which this daemon reads the store's changes. Live hosts form groups in the
+/// order of their names; the first of a group reads the store itself. Daemons that believe
+/// different hosts to be live may choose differently, since a host passes on only what it read from
+/// the store itself.
+/// @returns an empty choice for the first of a group.
+[[nodiscard]] fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now);
+
 /// Chooses entry hosts for a caller: those of its failure domain, else of its region, else all.
 [[nodiscard]] std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
                                                                std::string_view region,
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -316,6 +316,7 @@
     void sweep()
     {
         m_pool.sweep(kernel::monotonic_now());
+        publish_relay(choose_relay(m_dispatcher.hosts(), kernel::monotonic_now()));
         auto const* const changed = m_changed_settings.get();
         if (changed == nullptr || changed == m_applied_settings || !changed->gateway)
             return;
@@ -324,6 +325,19 @@
         m_dispatcher.set_bounds(changed->gateway->bounds);
     }
 
+    void publish_relay(fleet::relay_choice&& chosen)
+    {
+        if (chosen == m_relay)
+            return;
+        m_relay = chosen;
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "relay_chosen",
+                          {{"host", std::string_view(chosen.host)}});
+        m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
+            std::make_shared<fleet::relay_choice const>(std::move(chosen)));
+    }
+
     void arm_timer()
     {
         auto const wanted = m_dispatcher.next_tick(kernel::monotonic_now());
@@ -411,6 +425,7 @@
     std::unique_ptr<http::server> m_directory;
     std::unique_ptr<http::server> m_metrics;
     kernel::log_limiter m_directory_log{directory_lines_per_second};
+    fleet::relay_choice m_relay;
     bool m_is_draining = false;
     bool m_was_ready = false;
 };
--- /dev/null
+++ b/tests/discovery/relay_wire_test.cpp
@@ -0,0 +1,148 @@
+#include "kernel/plugin.hpp"
+#include "kernel/snapshot.hpp"
+#include "libraries/events/gateway_event.hpp"
+#include "libraries/fleet/relay_choice.hpp"
+#include "plugins/discovery/feed_history.hpp"
+#include "tests/support/duty_fixture.hpp"
+#include "tests/support/raw_connection.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+std::uint16_t own_relay_port()
+{
+    constexpr int first_port = 30100;
+    constexpr int processes = 2000;
+    return static_cast<std::uint16_t>(first_port + ::getpid() % processes);
+}
+
+void answer(support::raw_connection& connection, std::string const& status, std::string const& body)
+{
+    connection.send("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body);
+}
+
+/// Duties of a gateway by name, and a scripted store.
+class discovery_fixture
+{
+protected:
+    support::raw_listener m_store;
+    kernel::daemon_context m_context{make_own_settings(m_store.port()), 9};
+    std::unique_ptr<kernel::duty> m_duty;
+    std::unique_ptr<support::running_duty> m_running;
+
+    static kernel::settings make_own_settings(std::uint16_t store_port)
+    {
+        auto own = support::make_settings("host-1");
+        own.store = {"127.0.0.1", store_port};
+        own.gateway.emplace();
+        own.gateway->interface_name = "platform";
+        own.gateway->relay = {"127.0.0.1", own_relay_port()};
+        return own;
+    }
+
+    void start(std::string_view name)
+    {
+        for (auto const& registered : kernel::registered_plugins())
+        {
+            if (registered.name == name)
+                m_duty = registered.create(m_context);
+        }
+        REQUIRE(m_duty);
+        m_running = std::make_unique<support::running_duty>(*m_duty);
+    }
+
+    void note(std::uint64_t revision,
+              std::vector<object_store::object> objects,
+              bool is_complete = false,
+              bool is_direct = true)
+    {
+        m_context.shared<discovery::feed_histories>().update(
+            "evacuations",
+            is_direct,
+            is_complete,
+            {object_store::status::ok, revision, std::move(objects)},
+            kernel::monotonic_now());
+    }
+
+    [[nodiscard]] static support::raw_connection ask(std::uint64_t revision, int wait_ms)
+    {
+        auto connection = support::connect_to(own_relay_port());
+        connection.send("GET /v1/changes/evacuations/host-2/4?after=" + std::to_string(revision) +
+                        "&wait_ms=" + std::to_string(wait_ms) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        return connection;
+    }
+};
+
+object_store::object make_evacuation(std::string const& domain, std::uint64_t version)
+{
+    object_store::object made;
+    made.name = domain;
+    made.version = version;
+    made.value = "{}";
+    return made;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(discovery_fixture,
+                 "relay_waiting_question_is_answered_by_a_change",
+                 "[discovery][concurrent]")
+{
+    start("relay");
+    note(5, {}, true);
+    auto waiting = ask(5, 4000);
+    note(6, {make_evacuation("sve-a", 6)});
+    auto const told = waiting.receive_message();
+    CHECK(told.starts_with("HTTP/1.1 200 "));
+    CHECK(told.find(R"("revision":6)") != std::string::npos);
+    CHECK(told.find("sve-a") != std::string::npos);
+    auto const late = ask(4, 4000).receive_message();
+    CHECK(late.starts_with("HTTP/1.1 410 "));
+}
+
+// What another daemon told is not passed on, so that its age does not grow without bound.
+TEST_CASE_METHOD(discovery_fixture,
+                 "relay_indirect_knowledge_is_not_passed_on",
+                 "[discovery][concurrent]")
+{
+    start("relay");
+    note(5, {}, true, false);
+    CHECK(ask(5, 4000).receive_message().starts_with("HTTP/1.1 503 "));
+}
+
+// The daemon from which this one reads is gone at any moment: the store must be asked at once, from
+// the same revision, without waiting and on a new connection.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_lost_relay_is_followed_by_the_store",
+                 "[discovery][concurrent]")
+{
+    support::raw_listener relay;
+    start("evacuation feed");
+    auto first = m_store.accept();
+    REQUIRE_FALSE(first.receive_message().empty());
+    m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
+        std::make_shared<fleet::relay_choice const>(
+            fleet::relay_choice{"host-2", {"127.0.0.1", relay.port()}}));
+    answer(first, "200 OK", R"({"items": [], "has_more": false, "at": 5})");
+    auto asked = relay.accept();
+    CHECK(asked.receive_message().starts_with("GET /v1/changes/evacuations/host-1/9?after=5&"));
+    answer(asked, "200 OK", R"({"revision": 8, "objects": []})");
+    CHECK(asked.receive_message().starts_with("GET /v1/changes/evacuations/host-1/9?after=8&"));
+    answer(asked, "503 Service Unavailable", "{}");
+    auto second = m_store.accept();
+    CHECK(second.receive_message().starts_with(
+        "GET /pistachiohub/objects/evacuations?watch=8&wait_ms=1 "));
+    answer(second, "200 OK", R"({"events": [], "at": 8})");
+}
+
+} // namespace pistachiohub
--- a/tests/discovery/rhythm_test.cpp
+++ b/tests/discovery/rhythm_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace pistachiohub
 {
 
@@ -20,4 +22,24 @@
         CHECK(rhythm.watch_wait + rhythm.spacing <= bound * 4 / 5);
 }
 
+// The daemon from which this one reads may be lost, or lose the store, at the worst moment: what it
+// last told is as old as permitted, the next question is never answered, and the store must still
+// be asked within the bound.
+TEST_CASE("feed_rhythm_lost_relay_leaves_time_for_the_store", "[discovery]")
+{
+    kernel::gateway_bounds bounds;
+    auto const bound = std::chrono::milliseconds(GENERATE(1000, 2000, 2500, 5000));
+    bounds.configuration_apply = bound;
+    bounds.evacuation = bound;
+    bounds.server_drain = bound;
+    for (auto const& rhythm : {discovery::configuration_rhythm(bounds),
+                               discovery::evacuation_rhythm(bounds),
+                               discovery::server_rhythm(bounds)})
+    {
+        CHECK(rhythm.longest_age + rhythm.relay_wait + rhythm.relay_timeout <= bound * 9 / 10);
+        // Otherwise a daemon that reads the store without trouble could not pass it on.
+        CHECK(std::max(rhythm.watch_wait, rhythm.spacing) + rhythm.watch_wait < rhythm.longest_age);
+    }
+}
+
 } // namespace pistachiohub
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -73,6 +73,8 @@
 class host_table_fixture
 {
 protected:
+    static constexpr std::uint16_t relay_port = 7555;
+
     kernel::monotonic_time m_now{std::chrono::hours(1)};
     gateway::host_table m_table;
 
@@ -102,6 +104,16 @@
             m_now);
     }
 
+    /// Adds a host that passes on what it reads and whose reports were seen.
+    void add_live_host(std::string const& name, std::string const& domain)
+    {
+        auto host = make_host(name, domain, 1);
+        host.relay_port = relay_port;
+        read(host);
+        host.report = 2;
+        read(host);
+    }
+
     [[nodiscard]] std::size_t listed(std::string const& domain) const
     {
         return gateway::choose_entry_hosts(m_table, domain.substr(0, 3), domain, m_now).size();
@@ -273,4 +285,64 @@
     CHECK(gateway::sharing_hosts(m_table, m_now) == std::vector<std::string>{"own"});
 }
 
+// Load pattern: many hosts read the store, whose calls are limited and priced.
+TEST_CASE_METHOD(host_table_fixture,
+                 "relay_first_host_of_the_domain_reads_for_the_others",
+                 "[gateway]")
+{
+    add_live_host("a", "sve-a");
+    add_live_host("b", "sve-a");
+    add_live_host("z", "sve-a");
+    add_live_host("aa", "got-a");
+    CHECK(gateway::choose_relay(m_table, m_now).host == "a");
+    CHECK(gateway::choose_relay(m_table, m_now).address.port == relay_port);
+    // The next one takes over when the first one is gone.
+    m_now += gateway::host_silence;
+    add_live_host("b", "sve-a");
+    add_live_host("z", "sve-a");
+    add_live_host("zz", "sve-a");
+    CHECK(gateway::choose_relay(m_table, m_now).host == "b");
+}
+
+TEST_CASE_METHOD(host_table_fixture, "relay_small_domain_joins_its_region", "[gateway]")
+{
+    add_live_host("x", "sve-0");
+    CHECK(gateway::choose_relay(m_table, m_now).host == "x");
+}
+
+// One reader must not answer any number of others on a small host.
+TEST_CASE_METHOD(host_table_fixture, "relay_large_domain_has_several_readers", "[gateway]")
+{
+    for (int number = 10; number < 10 + 15; ++number)
+        add_live_host("h" + std::to_string(number), "sve-a");
+    CHECK(gateway::choose_relay(m_table, m_now).host == "h10");
+    add_live_host("h25", "sve-a");
+    // Sixteen come before this host, so that it is the first of a group of its own.
+    CHECK(gateway::choose_relay(m_table, m_now).host.empty());
+}
+
+TEST_CASE_METHOD(host_table_fixture, "relay_host_without_relay_is_not_asked", "[gateway]")
+{
+    auto host = make_host("a", "sve-a", 1);
+    read(host);
+    host.report = 2;
+    read(host);
+    REQUIRE(gateway::is_live(m_table, m_table.hosts.at("a"), m_now));
+    CHECK(gateway::choose_relay(m_table, m_now).host.empty());
+}
+
+// Followers report rarely themselves. A restarted follower must not pass as the one that was seen.
+TEST_CASE_METHOD(host_table_fixture, "followers_live_by_the_reports_of_their_reader", "[gateway]")
+{
+    auto const reader_name = GENERATE(std::string("reader"), std::string("own"));
+    add_live_host("follower", "sve-a");
+    auto const is_same_start = GENERATE(true, false);
+    m_now += gateway::host_silence - std::chrono::milliseconds(100);
+    auto reader = make_host(reader_name, "sve-a", 8);
+    reader.followers = {{"follower", is_same_start ? 1U : 2U}};
+    read(reader);
+    m_now += std::chrono::milliseconds(200);
+    CHECK(gateway::is_live(m_table, m_table.hosts.at("follower"), m_now) == is_same_start);
+}
+
 } // namespace pistachiohub
