--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -139,7 +139,7 @@
     }
     auto const weights = weights_of(spill, {slots[0], slots[1], slots[2]});
     std::array<double, distances> const weight_of{
-        weights.own_domain, weights.own_region, weights.other_regions};
+        weights.own_region, weights.own_region, weights.other_regions};
     std::vector<server_pointer> servers;
     std::vector<affinity_candidate> candidates;
     for (std::size_t position = 0; position < distances; ++position)
--- a/plugins/gateway/spill.cpp
+++ b/plugins/gateway/spill.cpp
@@ -81,11 +81,8 @@
 
 slot_weights weights_of(spill_state const& state, slot_counts const& slots)
 {
-    slot_weights weights;
-    weights.own_region = weight_outside(state.domain_part, slots.own_domain, slots.own_region);
-    auto const home = slots.own_domain + weights.own_region * slots.own_region;
-    weights.other_regions = weight_outside(state.region_part, home, slots.other_regions);
-    return weights;
+    auto const home = slots.own_domain + slots.own_region;
+    return {1, weight_outside(state.region_part, home, slots.other_regions)};
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/spill.hpp
+++ b/plugins/gateway/spill.hpp
@@ -32,22 +32,24 @@
     double other_regions = 0;
 };
 
-/// Parts of the objects of one service that stay in the own failure domain, and in the own region.
-/// They do not fall below the own share of the slots: there all daemons agree on one server for
-/// each object, and moving more would only fill the caches of others.
+/// Parts of one service's load that stay near. They do not fall below the own share of the slots,
+/// because moving more would only crowd the others.
 struct spill_state
 {
+    /// Of the requests without an object, those that stay in the own failure domain.
     double domain_part = 1;
+    /// Of all requests, those that stay in the own region.
     double region_part = 1;
     kernel::monotonic_time updated_at;
     bool is_started = false;
 };
 
-/// Weights of a slot by distance for rendezvous hashing.
+/// Weights of a slot for rendezvous hashing. All slots of a region weigh the same for all its
+/// daemons, so that these agree on one server for each object: a copy for each failure domain would
+/// be cold as often, and in a crowded region there is no room for it.
 struct slot_weights
 {
-    double own_domain = 1;
-    double own_region = 0;
+    double own_region = 1;
     double other_regions = 0;
 };
 
@@ -76,8 +78,8 @@
                   double most_shift,
                   kernel::monotonic_time now);
 
-/// @returns weights with which the wanted parts of the objects stay near. No slot weighs more than
-/// a nearer one.
+/// @returns weights with which the wanted part of the objects stays in the region. No slot weighs
+/// more than a nearer one.
 [[nodiscard]] slot_weights weights_of(spill_state const& state, slot_counts const& slots);
 
 } // namespace pistachiohub::gateway
