discovery: Wake the relay only for questions that wait

Cause: reading the diff; the relay's thread woke twenty times a second on each daemon to look for questions whose time was up, also where nobody asks. Change: each question sets its own timer; names of the answers' kinds are with their type. Ruled out: a timer for the earliest question only (questions of one kind wait equally long, so it saves nothing).

--- a/plugins/discovery/feed_history.cpp
+++ b/plugins/discovery/feed_history.cpp
@@ -1,6 +1,7 @@
 #include "plugins/discovery/feed_history.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace pistachiohub::discovery
@@ -24,6 +25,13 @@
     history.batches.pop_front();
 }
 
+std::string_view to_string(history_state value)
+{
+    // In the order of the enumeration.
+    constexpr std::array<std::string_view, 4> names{"changes", "current", "stale", "gone"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 history_state
 state_since(kind_history const& history, std::uint64_t revision, kernel::monotonic_time oldest)
 {
--- a/plugins/discovery/feed_history.hpp
+++ b/plugins/discovery/feed_history.hpp
@@ -59,6 +59,9 @@
     is_gone
 };
 
+/// @returns the name used in metric labels.
+[[nodiscard]] std::string_view to_string(history_state value);
+
 /// @param oldest what was confirmed before this time is too old.
 [[nodiscard]] history_state
 state_since(kind_history const& history, std::uint64_t revision, kernel::monotonic_time oldest);
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -11,7 +11,6 @@
 #include "plugins/discovery/rhythm.hpp"
 
 #include <algorithm>
-#include <array>
 #include <list>
 
 namespace pistachiohub::discovery
@@ -27,7 +26,7 @@
 constexpr unsigned http_bad_request = 400;
 constexpr unsigned http_gone = 410;
 constexpr unsigned http_unavailable = 503;
-constexpr auto expiry_interval = milliseconds(50);
+// Followers wait for a part of a bound, which is seconds.
 constexpr auto longest_wait = milliseconds(5000);
 // Questions that wait at the same time; each daemon has one for each kind.
 constexpr std::size_t most_waiting = 256;
@@ -84,11 +83,6 @@
                         answer_waiting();
                     });
             });
-        m_loop.every(expiry_interval,
-                     [this]()
-                     {
-                         answer_waiting();
-                     });
         m_loop.run();
         m_histories.set_wake_up({});
     }
@@ -111,7 +105,12 @@
         auto const ends_at = now + std::min(query->wait, longest_wait);
         m_waiting.push_back({std::move(*query), ends_at, reply});
         if (try_answer(m_waiting.back(), now))
-            m_waiting.pop_back();
+            return m_waiting.pop_back();
+        m_loop.after(ends_at - now,
+                     [this]()
+                     {
+                         answer_waiting();
+                     });
     }
 
     void answer_waiting()
@@ -150,10 +149,9 @@
 
     void count(std::string_view kind, history_state state)
     {
-        constexpr std::array<std::string_view, 4> names{"changes", "current", "stale", "gone"};
         m_context.own_metrics()
             .find_counter("pistachiohub_relay_answers_total",
-                          {{"kind", kind}, {"result", names.at(static_cast<std::size_t>(state))}})
+                          {{"kind", kind}, {"result", to_string(state)}})
             .increment();
     }
 
