--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -23,6 +23,7 @@
 
 constexpr auto call_timeout = milliseconds(1000);
 constexpr int start_order = 115;
+// How soon a report is due again after the reader was lost, or the daemon leaves.
 constexpr auto check_interval = milliseconds(250);
 // Link bandwidth on which a full processor share of requests needs no more.
 constexpr double link_mbps_of_full_core = 100;
