gateway: Place requests by capacity at the start, and bound the shift of runs

The spill started with all objects at home and moved 11 in 100 of them in two seconds, but the rule counts runs: objects that left were served, of those at home three quarters found no room, so that the runs left four times as fast. A region with a tenth of the slots and a third of the callers then needed more than ten seconds to reach its place. Change: the first placement gives each slot the same load (live hosts tell the callers of a region), and a step is computed for the part of the runs outside, from the parts that are served at home and elsewhere. The test of servers missing after an outage now draws a number that places its request at home, since half are placed elsewhere from the start; what it checks is the same.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -137,6 +137,8 @@
     m_due.emplace(std::min(request->answer_by, request->arrived_at + route.target_latency),
                   request);
     auto& state = state_of(request->service);
+    if (!state.spill.is_started)
+        start_spill_of(request->service, state, now);
     record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
     state.far_sends = std::min(state.far_sends + far_sends_per_request, most_far_sends);
     dispatch(request, now);
@@ -189,6 +191,8 @@
         return false;
     }
     set_waiting(*request, chosen.server ? nullptr : chosen.preferred);
+    if (!request->is_distance_counted)
+        count_wanted(*request, chosen.server ? *chosen.server : *chosen.preferred);
     if (!chosen.server)
         return false;
     // A send to another region for want of room, and not because its object lives there.
@@ -206,6 +210,8 @@
     ++request->sends;
     request->tried.push_back(request->server->record.id);
     ++request->server->own_running;
+    if (request->sends == 1)
+        ++count_at(state_of(request->service), *request->server).sent;
     ++state_of(request->service).running;
     auto const remaining = std::max<std::int64_t>(ms_between(now, request->answer_by), 1);
     m_actions.send(request, milliseconds(remaining));
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -45,6 +45,8 @@
     spill_state spill;
     /// Smoothed use of the slots by distance.
     utilisation used;
+    served_count in_region;
+    served_count outside;
     retry_allowance retries;
     /// Smoothed time from sending a request to its answer, in seconds; 0 before the first.
     double run_seconds = 0;
@@ -128,6 +130,11 @@
 
 private:
     service_state& state_of(std::string const& service);
+    void
+    start_spill_of(std::string const& service, service_state& state, kernel::monotonic_time now);
+    /// Counts the request by the distance of its first server.
+    void count_wanted(gateway_request& request, known_server const& first);
+    [[nodiscard]] static served_count& count_at(service_state& state, known_server const& server);
     void dispatch(request_pointer const& request, kernel::monotonic_time now);
     [[nodiscard]] bool try_send(request_pointer const& request, kernel::monotonic_time now);
     void send(request_pointer const& request, kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -151,7 +151,45 @@
     smooth(state.used.everywhere, sums[2].share());
     slot_counts const slots{
         sums[0].slots, sums[1].slots - sums[0].slots, sums[2].slots - sums[1].slots};
-    update_spill(state.spill, state.used, slots, m_bounds.shift, now);
+    served_parts const served{served_part(state.in_region), served_part(state.outside)};
+    update_spill(state.spill, state.used, slots, served, m_bounds.shift, now);
+    fade(state.in_region);
+    fade(state.outside);
+}
+
+void dispatcher::start_spill_of(std::string const& service,
+                                service_state& state,
+                                kernel::monotonic_time now)
+{
+    slot_counts slots;
+    for (auto const& server : servers_of(m_servers, service))
+    {
+        if (!is_usable(m_servers, *server))
+            continue;
+        auto& at_distance = server->how_far == distance::other_region  ? slots.other_regions
+                            : server->how_far == distance::same_region ? slots.own_region
+                                                                       : slots.own_domain;
+        at_distance += server->record.slots;
+    }
+    start_spill(state.spill, slots, part_of_hosts_in_region(m_hosts, now), now);
+    kernel::log_event(kernel::log_level::info,
+                      "gateway",
+                      "spill_started",
+                      {{"service", std::string_view(service)},
+                       {"slots_in_region", slots.own_domain + slots.own_region},
+                       {"slots_outside", slots.other_regions},
+                       {"region_part", state.spill.region_part}});
+}
+
+served_count& dispatcher::count_at(service_state& state, known_server const& server)
+{
+    return server.how_far == distance::other_region ? state.outside : state.in_region;
+}
+
+void dispatcher::count_wanted(gateway_request& request, known_server const& first)
+{
+    request.is_distance_counted = true;
+    ++count_at(state_of(request.service), first).wanted;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -155,6 +155,20 @@
     return {reader.name, {reader.callers.address, reader.relay_port}};
 }
 
+double part_of_hosts_in_region(host_table const& table, kernel::monotonic_time now)
+{
+    std::size_t all = 1;
+    std::size_t near = 1;
+    for (auto const& [name, host] : table.hosts)
+    {
+        if (!is_live(table, host, now))
+            continue;
+        ++all;
+        near += host.record.region == table.own.region ? 1 : 0;
+    }
+    return static_cast<double>(near) / static_cast<double>(all);
+}
+
 std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
                                                  std::string_view region,
                                                  std::string_view failure_domain,
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -58,6 +58,8 @@
     server_pointer waits_for;
     kernel::monotonic_time sent_at;
     std::uint32_t sends = 0;
+    /// Whether the distance of its first server was counted.
+    bool is_distance_counted = false;
     /// Ids of the backend servers to which it was sent or that could not be reached.
     std::vector<std::string> tried;
     /// Whether a backend server may have run it.
--- a/plugins/gateway/spill.hpp
+++ b/plugins/gateway/spill.hpp
@@ -32,6 +32,28 @@
     double other_regions = 0;
 };
 
+/// Of the requests whose server is at a distance, the part that is sent there. The others find no
+/// room and do not run.
+struct served_parts
+{
+    double own_region = 1;
+    double other_regions = 1;
+};
+
+/// Requests of one service whose first server is at a distance, and those that were sent there.
+/// Older requests count less.
+struct served_count
+{
+    double wanted = 0;
+    double sent = 0;
+};
+
+/// @returns the part that was sent, 1 before the first request.
+[[nodiscard]] double served_part(served_count const& count);
+
+/// Lets the requests so far count less; called at each update of the parts.
+void fade(served_count& count);
+
 /// Parts of one service's load that stay near. They do not fall below the own share of the slots,
 /// because moving more would only crowd the others.
 struct spill_state
@@ -67,14 +89,28 @@
 /// Speed at which objects return, as a part of the speed at which they leave.
 inline constexpr double return_speed = 0.2;
 
+/// Starts the parts where each slot of the service gets the same load. A start moves nothing, and
+/// from there the parts can only creep.
+/// @param region_load part of all callers that the own region has.
+void start_spill(spill_state& state,
+                 slot_counts const& slots,
+                 double region_load,
+                 kernel::monotonic_time now);
+
+/// @returns the part of the running requests that run in other regions, when the part
+/// `region_part` of all requests stays in the own one.
+[[nodiscard]] double outside_part_of_runs(double region_part, served_parts const& served);
+
 /// Moves the parts by what is seen now.
 ///
-/// Invariant: within any two seconds `region_part` changes by at most `share_of_shift *
-/// most_shift`.
+/// Invariant: within any two seconds `region_part` moves `outside_part_of_runs` by at most
+/// `share_of_shift * most_shift`. Requests that are refused do not run, so in a crowded region the
+/// same part of the objects is a larger part of the runs.
 /// @param most_shift fraction of a region's requests that may change their region in two seconds.
 void update_spill(spill_state& state,
                   utilisation const& seen,
                   slot_counts const& slots,
+                  served_parts const& served,
                   double most_shift,
                   kernel::monotonic_time now);
 
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -325,9 +325,29 @@
     remove_server("i-1");
     CHECK(begin("/i/1")->server->record.id == "i-2");
     remove_server("i-2");
+    // Half of the slots are at home, so half of the requests without an object are placed there.
+    m_random = 0.4;
     CHECK(begin("/i/2")->server->record.id == "i-1");
 }
 
+// Load pattern: a region with few slots and many callers, from the first second on. The first
+// requests must already be spread by capacity.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_first_requests_are_placed_by_capacity",
+                 "[gateway]")
+{
+    m_document.routes[0].has_affinity = true;
+    publish(2);
+    add_server("i-1", "sve-a", 100);
+    add_server("i-2", "got-a", 300);
+    int at_home = 0;
+    for (int number = 0; number < 100; ++number)
+        at_home += begin("/i/1", "object-" + std::to_string(number))->server->record.id == "i-1";
+    // All hosts of the fixture are in the region that has a quarter of the slots.
+    CHECK(at_home > 10);
+    CHECK(at_home < 40);
+}
+
 // An older version that arrives late must not undo a newer one.
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_older_configuration_is_ignored", "[gateway]")
 {
