gateway: Share the loads that backend servers report in a group of daemons

A daemon of 26 in a region sends a server a request every few seconds, its last report fades with a half-life of 0.5 s, and so it takes full servers as idle. Change: every 0.2 s a daemon tells the reader of its group the loads that it heard, in one datagram, and the reader tells all to each of them. Nothing waits for it, and a lost datagram is followed by newer ones. Ruled out: hearing more by probes (priced, and each waits for a slot); the relay's answers to watches (they come when the store changes, not when loads do).

--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -99,6 +99,12 @@
         return m_servers;
     }
 
+    /// @returns the backend servers, to note what other daemons tell of their loads.
+    [[nodiscard]] server_table& servers()
+    {
+        return m_servers;
+    }
+
     /// @returns whether requests can be served.
     [[nodiscard]] bool is_ready() const
     {
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -12,6 +12,7 @@
 #include "libraries/interface/interface.hpp"
 #include "plugins/gateway/caller_gate.hpp"
 #include "plugins/gateway/dispatcher.hpp"
+#include "plugins/gateway/load_exchange.hpp"
 #include "plugins/gateway/server_pool.hpp"
 #include "plugins/gateway/status_report.hpp"
 
@@ -98,6 +99,10 @@
         , m_directory(make_server(m_settings.directory, &gateway_duty::answer_directory))
         , m_metrics(make_server(m_settings.metrics, &gateway_duty::answer_metrics))
     {
+        // Datagrams and streams have ports of their own, so the relay's number serves both.
+        if (m_settings.relay.port != 0)
+            m_loads = std::make_unique<load_exchange>(
+                m_loop, context.own_metrics(), m_settings.relay, m_dispatcher.servers());
         context.on_drain(
             [this]()
             {
@@ -334,6 +339,8 @@
                           "gateway",
                           "relay_chosen",
                           {{"host", std::string_view(chosen.host)}});
+        if (m_loads)
+            m_loads->set_reader(chosen.address, kernel::monotonic_now());
         m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
             std::make_shared<fleet::relay_choice const>(std::move(chosen)));
     }
@@ -424,6 +431,7 @@
     std::unique_ptr<http::server> m_readiness;
     std::unique_ptr<http::server> m_directory;
     std::unique_ptr<http::server> m_metrics;
+    std::unique_ptr<load_exchange> m_loads;
     kernel::log_limiter m_directory_log{directory_lines_per_second};
     fleet::relay_choice m_relay;
     bool m_is_draining = false;
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -61,8 +61,7 @@
         auto& group =
             now >= server->avoided_until ? own : avoided[static_cast<std::size_t>(server->how_far)];
         group.servers.push_back(server);
-        group.candidates.push_back(
-            {hash_text(server->record.id), static_cast<double>(server->record.slots)});
+        group.candidates.push_back({server->hash, static_cast<double>(server->record.slots)});
     }
     for (std::size_t position = 0; position < distances; ++position)
     {
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -1,5 +1,7 @@
 #include "plugins/gateway/server_table.hpp"
 
+#include "plugins/gateway/affinity.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -44,6 +46,7 @@
         return;
     found->second->is_gone = true;
     remove_from_service(table, found->second);
+    table.by_hash.erase(found->second->hash);
     table.servers.erase(found);
     change.lost.push_back(id);
 }
@@ -52,11 +55,13 @@
 {
     auto server = std::make_shared<known_server>();
     server->record = record;
+    server->hash = hash_text(record.id);
     server->how_far = distance_of(table, record);
     auto const region = table.region_of_domain.find(record.failure_domain);
     if (region != table.region_of_domain.end())
         server->region = region->second;
     table.servers.emplace(record.id, server);
+    table.by_hash.emplace(server->hash, server);
     table.by_service[record.service].push_back(server);
     change.added.push_back(record.id);
 }
@@ -216,8 +221,20 @@
 
 void record_load(known_server& server, double total, kernel::monotonic_time now)
 {
-    server.report.others = std::max(0.0, total - server.own_running);
-    server.report.at = now;
+    server.report = {std::max(0.0, total - server.own_running),
+                     static_cast<std::uint32_t>(total),
+                     now,
+                     now,
+                     true};
+}
+
+void record_shared_load(known_server& server,
+                        std::uint32_t total,
+                        kernel::monotonic_time at,
+                        kernel::monotonic_time now)
+{
+    auto const others = std::max(0.0, static_cast<double>(total) - server.own_running);
+    server.report = {others, total, at, now, false};
 }
 
 void record_failure(known_server& server, kernel::monotonic_time now)
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -15,6 +15,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pistachiohub::gateway
@@ -28,18 +29,27 @@
     other_region
 };
 
-/// What a backend server said of its load, and what this daemon had running there at that time.
+/// What a backend server said of its load, to this daemon or to another one that told it.
 struct load_report
 {
     /// Running and waiting requests of other daemons.
     double others = 0;
+    /// Those of all daemons.
+    std::uint32_t total = 0;
+    /// When the server said it.
     kernel::monotonic_time at;
+    /// When this daemon heard of it.
+    kernel::monotonic_time learned_at;
+    /// Whether this daemon had it from the server.
+    bool is_own = false;
 };
 
 /// One incarnation of a backend server. Only the gateway's thread changes it.
 struct known_server
 {
     fleet::backend_server record;
+    /// Hash of its id.
+    std::uint64_t hash = 0;
     /// Version of the store's object.
     std::uint64_t version = 0;
     distance how_far = distance::other_region;
@@ -74,6 +84,7 @@
 
     routing::text_map<server_pointer> servers;
     routing::text_map<std::vector<server_pointer>> by_service;
+    std::unordered_map<std::uint64_t, server_pointer> by_hash;
     std::set<std::string, std::less<>> evacuated_domains;
     /// When the store answered again after it had been lost.
     std::optional<kernel::monotonic_time> store_regained_at;
@@ -129,6 +140,12 @@
 /// @param total running and waiting requests, without the answered one.
 void record_load(known_server& server, double total, kernel::monotonic_time now);
 
+/// Notes the load that the server reported to another daemon at the time `at`.
+void record_shared_load(known_server& server,
+                        std::uint32_t total,
+                        kernel::monotonic_time at,
+                        kernel::monotonic_time now);
+
 /// Notes that the server refused a request, could not be reached or broke off.
 void record_failure(known_server& server, kernel::monotonic_time now);
 
