gateway: Use an object's second server when the first is full, and a short queue there

Cause: with loads known to all daemons of a group, requests still waited 0.4 of their target latency in the gateway before the second server of their object, and never in a server's own queue. A slot that comes free there is taken at once, while a daemon hears of it later than others. Change: the second server is taken when the first has no room. A server has room for a queue whose wait is at most a quarter of the target latency by the smoothed time of a run, and no longer than its slots; none before the first answer.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -27,11 +27,15 @@
 constexpr std::size_t most_waiting = 512;
 // Waiting requests without room that one pass looks at.
 constexpr std::size_t most_looked_at = 48;
-// Part of the target latency for which a request waits for a server that knows its object, before
-// it takes another server, failure domain or region.
-constexpr double patience_for_affinity = 0.4;
+// Part of the target latency for which a request waits for the servers of its object, before it
+// takes one of another failure domain or region.
 constexpr double patience_for_domain = 0.5;
 constexpr double patience_for_region = 0.6;
+// Part of the target latency that a request may wait in a server's queue. Slots that come free
+// there are taken at once, while a daemon hears of them later and other daemons are as near.
+constexpr double longest_server_queue = 0.25;
+// Requests that may wait at a server for each slot; queues of servers are a few times as long.
+constexpr double most_queue_per_slot = 1;
 // Part of the target latency that a request may wait at most when it begins to wait. The rest is
 // for its run.
 constexpr double longest_wait = 0.6;
@@ -60,6 +64,14 @@
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+double queue_per_slot(double run_seconds, double target_seconds)
+{
+    // Nothing is known before the first answer, when all servers are cold.
+    if (run_seconds <= 0)
+        return 0;
+    return std::min(longest_server_queue * target_seconds / run_seconds, most_queue_per_slot);
+}
+
 bool is_server_failure(unsigned status)
 {
     constexpr unsigned first_server_error = 500;
@@ -173,10 +185,10 @@
     input.position =
         request->affinity_key ? position_of_key(*request->affinity_key) : m_actions.random();
     input.spill = state.spill;
-    input.may_leave_affinity = waited > patience_for_affinity * target;
     input.may_leave_domain = request->sends > 0 || waited > patience_for_domain * target;
     input.may_leave_region =
         state.far_sends >= 1 && (request->sends > 0 || waited > patience_for_region * target);
+    input.queue_per_slot = queue_per_slot(state.run_seconds, target.count());
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -93,7 +93,7 @@
               choice_input const& input,
               std::function<bool(known_server&)> const& may_send_cold)
 {
-    return has_room(server, input.now) && input.now >= server.avoided_until &&
+    return has_room(server, input.now, input.queue_per_slot) && input.now >= server.avoided_until &&
            (input.now >= server.cold_until || may_send_cold(server));
 }
 
@@ -154,7 +154,7 @@
     }
     std::vector<server_pointer> ranked;
     for (auto const position :
-         rank_by_affinity(*request.affinity_key, candidates, servers_of_late_object))
+         rank_by_affinity(*request.affinity_key, candidates, servers_of_object))
         ranked.push_back(servers[position]);
     return ranked;
 }
@@ -164,9 +164,7 @@
                         choice_input const& input,
                         std::function<bool(known_server&)> const& may_send_cold)
 {
-    auto ranked = rank(found, request, input.spill);
-    if (!input.may_leave_affinity)
-        ranked.resize(std::min(ranked.size(), servers_of_object));
+    auto const ranked = rank(found, request, input.spill);
     auto const first = ranked.front();
     for (auto const& server : ranked)
     {
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -21,8 +21,8 @@
     /// Whether a server at another distance may be taken when there is no room.
     bool may_leave_region = false;
     bool may_leave_domain = false;
-    /// Whether a further server of the object may be taken.
-    bool may_leave_affinity = false;
+    /// Requests that may wait at a server for each of its slots.
+    double queue_per_slot = 0;
     kernel::monotonic_time now;
 };
 
@@ -36,12 +36,9 @@
     no_room
 };
 
-/// Servers to which an object's requests go at once. Each further one that knows the object leaves
-/// less room in its cache for others.
-inline constexpr std::size_t servers_of_object = 1;
-
-/// Servers among which a request of the object chooses once it has waited for those.
-inline constexpr std::size_t servers_of_late_object = 2;
+/// Servers of an object. The second one is taken when the first has no room; each further one would
+/// leave less room in its cache for other objects.
+inline constexpr std::size_t servers_of_object = 2;
 
 /// The chosen server, or why there is none.
 struct choice
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -205,10 +205,10 @@
            server.report.others * std::exp2(-age.count() / report_half_life.count());
 }
 
-bool has_room(known_server const& server, kernel::monotonic_time now)
+bool has_room(known_server const& server, kernel::monotonic_time now, double queue_per_slot)
 {
     // The decayed part of the estimate is rarely whole; half a request counts as none.
-    return estimated_load(server, now) + 0.5 <= server.record.slots;
+    return estimated_load(server, now) + 0.5 <= server.record.slots * (1 + queue_per_slot);
 }
 
 double
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -128,8 +128,11 @@
 /// have there decays with the age of the report.
 [[nodiscard]] double estimated_load(known_server const& server, kernel::monotonic_time now);
 
-/// @returns whether a further request would find a free slot.
-[[nodiscard]] bool has_room(known_server const& server, kernel::monotonic_time now);
+/// @returns whether a further request would find a free slot, or a place in a queue of the server
+/// that is not longer.
+/// @param queue_per_slot requests that may wait at the server for each of its slots.
+[[nodiscard]] bool
+has_room(known_server const& server, kernel::monotonic_time now, double queue_per_slot = 0);
 
 /// @returns the time in seconds until a further request of this daemon would find a free slot.
 /// @param run_seconds time for which a request takes a slot.
