gateway: Avoid servers that were replaced or cannot be reached

Change: a server that answers 421 is avoided until its registration lapses by the heartbeat, one without a connection for 0.8 s and longer; a connection may take 0.3 s, which is below the callers' target latencies. Ruled out: dropping such a server for good (one wrong 421 would lose it until it registers anew).

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -49,6 +49,8 @@
 constexpr auto shortest_run = milliseconds(20);
 constexpr auto shortest_retry_after = milliseconds(100);
 constexpr auto longest_retry_after = milliseconds(2000);
+// Heartbeats that a server misses before its registration lapses.
+constexpr int heartbeats_of_lapse = 3;
 // Lines a second for requests that were served and for those that were not.
 constexpr double request_lines_per_second = 100;
 
@@ -72,6 +74,16 @@
     return std::min(longest_server_queue * target_seconds / run_seconds, most_queue_per_slot);
 }
 
+server_failure failure_of(attempt_end const& end)
+{
+    constexpr unsigned misdirected = 421;
+    if (end.result == attempt_result::never_sent)
+        return server_failure::unreachable;
+    bool const is_replaced =
+        end.result == attempt_result::not_started && end.received.status == misdirected;
+    return is_replaced ? server_failure::replaced : server_failure::request_failed;
+}
+
 bool is_server_failure(unsigned status)
 {
     constexpr unsigned first_server_error = 500;
@@ -107,6 +119,7 @@
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
     m_servers.region_of_domain = own.gateway->region_of_domain;
+    m_servers.entry_lapse = heartbeats_of_lapse * own.gateway->server_heartbeat;
     m_hosts.own.name = own.name;
     m_hosts.own.callers = own.gateway->callers;
     m_hosts.own.failure_domain = own.failure_domain;
@@ -291,7 +304,7 @@
         state.run_seconds += (state.run_seconds == 0 ? 1 : smoothing) * (ran - state.run_seconds);
     }
     else
-        record_failure(server, now);
+        record_failure(m_servers, server, failure_of(end), now);
     auto const service = request->service;
     bool const is_repeatable_failure = end.result == attempt_result::answered &&
                                        is_server_failure(end.received.status) &&
--- a/plugins/gateway/server_link.cpp
+++ b/plugins/gateway/server_link.cpp
@@ -25,9 +25,9 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-// Below the second after which a lost opening packet is sent again, so that another server is tried
-// first.
-constexpr auto connect_timeout = milliseconds(700);
+// Several round trips between distant regions, and below the target latencies of callers, so that
+// another server is tried in time.
+constexpr auto connect_timeout = milliseconds(300);
 // Time after which a server that acknowledges nothing counts as gone.
 constexpr auto server_silence = milliseconds(3000);
 constexpr std::uint32_t largest_header = 65536;
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -16,9 +16,29 @@
 constexpr std::chrono::duration<double> report_half_life{0.5};
 // Pause after the first failure of a server; doubles with each further one.
 constexpr auto first_pause = std::chrono::milliseconds(50);
+// The same for a server that cannot be reached: the attempt cost a caller its patience, and a
+// process that ended is back after seconds, if at all.
+constexpr auto first_unreachable_pause = std::chrono::milliseconds(800);
 constexpr auto longest_pause = std::chrono::milliseconds(1600);
 constexpr unsigned most_doublings = 5;
 
+kernel::duration pause_after(server_table const& table, server_failure cause, unsigned failures)
+{
+    switch (cause)
+    {
+    // By then the registration has lapsed. A new start of the server has a new one, without a
+    // pause.
+    case server_failure::replaced:
+        return table.entry_lapse;
+    case server_failure::unreachable:
+        return std::min<kernel::duration>(first_unreachable_pause * (1U << failures),
+                                          longest_pause);
+    case server_failure::request_failed:
+        break;
+    }
+    return std::min<kernel::duration>(first_pause * (1U << failures), longest_pause);
+}
+
 distance distance_of(server_table const& table, fleet::backend_server const& record)
 {
     if (record.failure_domain == table.own_domain)
@@ -237,11 +257,13 @@
     server.report = {others, total, at, now, false};
 }
 
-void record_failure(known_server& server, kernel::monotonic_time now)
+void record_failure(server_table const& table,
+                    known_server& server,
+                    server_failure cause,
+                    kernel::monotonic_time now)
 {
-    auto const doublings = std::min(server.failures_in_row, most_doublings);
+    auto const pause = pause_after(table, cause, std::min(server.failures_in_row, most_doublings));
     ++server.failures_in_row;
-    auto const pause = std::min<kernel::duration>(first_pause * (1U << doublings), longest_pause);
     server.avoided_until = std::max(server.avoided_until, now + pause);
 }
 
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -82,6 +82,9 @@
     std::string own_region;
     std::map<std::string, std::string, std::less<>> region_of_domain;
 
+    /// Silence after which the registration of a server lapses.
+    std::chrono::milliseconds entry_lapse{4500};
+
     routing::text_map<server_pointer> servers;
     routing::text_map<std::vector<server_pointer>> by_service;
     std::unordered_map<std::uint64_t, server_pointer> by_hash;
@@ -149,8 +152,22 @@
                         kernel::monotonic_time at,
                         kernel::monotonic_time now);
 
-/// Notes that the server refused a request, could not be reached or broke off.
-void record_failure(known_server& server, kernel::monotonic_time now);
+/// How a send to a server failed.
+enum class server_failure
+{
+    /// It refused the request or broke off.
+    request_failed,
+    /// No connection came up.
+    unreachable,
+    /// Another process answers at its address.
+    replaced
+};
+
+/// Notes that a send to the server failed. It is avoided for a time that depends on the failure.
+void record_failure(server_table const& table,
+                    known_server& server,
+                    server_failure cause,
+                    kernel::monotonic_time now);
 
 /// Notes an answer of the server.
 void record_success(known_server& server);
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -217,14 +217,40 @@
 {
     read(make_server("i-1"));
     auto& server = *m_table.servers.at("i-1");
-    gateway::record_failure(server, m_now);
+    gateway::record_failure(m_table, server, gateway::server_failure::request_failed, m_now);
     auto const first = server.avoided_until - m_now;
-    gateway::record_failure(server, m_now);
+    gateway::record_failure(m_table, server, gateway::server_failure::request_failed, m_now);
     CHECK(server.avoided_until - m_now == 2 * first);
     gateway::record_success(server);
     CHECK(server.failures_in_row == 0);
 }
 
+// Load pattern: many servers end at once and their addresses go to others. Each daemon asked each
+// of them again and again until their registrations lapsed.
+TEST_CASE_METHOD(server_table_fixture,
+                 "server_replaced_at_its_address_is_avoided_until_its_entry_lapses",
+                 "[gateway]")
+{
+    read(make_server("i-1"));
+    auto& server = *m_table.servers.at("i-1");
+    gateway::record_failure(m_table, server, gateway::server_failure::replaced, m_now);
+    CHECK(server.avoided_until - m_now == m_table.entry_lapse);
+}
+
+TEST_CASE_METHOD(server_table_fixture,
+                 "server_that_cannot_be_reached_is_avoided_longer_than_a_busy_one",
+                 "[gateway]")
+{
+    read(make_server("i-1"));
+    read(make_server("i-2"));
+    auto& lost = *m_table.servers.at("i-1");
+    auto& busy = *m_table.servers.at("i-2");
+    gateway::record_failure(m_table, lost, gateway::server_failure::unreachable, m_now);
+    gateway::record_failure(m_table, busy, gateway::server_failure::request_failed, m_now);
+    CHECK(lost.avoided_until - m_now >= milliseconds(500));
+    CHECK(busy.avoided_until - m_now <= milliseconds(100));
+}
+
 TEST_CASE_METHOD(host_table_fixture, "directory_names_hosts_of_the_callers_domain", "[gateway]")
 {
     read(make_host("host-b", "sve-b", 1));
