gateway: Quarantine requests that crash backend servers

Change: after a broken send the daemon looks whether anything still listens at the server's address. If the connection is refused, each request that broke there counts as a suspect of this crash, and the host's registration tells the others. At three crashed incarnations without an answer between, the request (service, caller, method, target, body) is refused. Ruled out: counting broken sends alone (lost answers would quarantine popular requests); an object of its own in the store (a further kind to watch on each reader, while crashes are rare); connections that time out (a cut link is no crash).

--- a/libraries/fleet/backend_server.hpp
+++ b/libraries/fleet/backend_server.hpp
@@ -38,6 +38,16 @@
     friend bool operator==(host_incarnation const&, host_incarnation const&) = default;
 };
 
+/// A request that was running at a backend server when that crashed.
+struct crash_report
+{
+    std::uint64_t fingerprint = 0;
+    /// `<id>/<start>`: another start of a server is another crash.
+    std::string backend_server;
+
+    friend bool operator==(crash_report const&, crash_report const&) = default;
+};
+
 /// An entry host as its daemon registered itself.
 struct entry_host
 {
@@ -57,6 +67,8 @@
     /// Daemons that read the store through this one and were running at its report. They report
     /// rarely themselves.
     std::vector<host_incarnation> followers;
+    /// Crashes that it found lately.
+    std::vector<crash_report> crashes;
 };
 
 } // namespace pistachiohub::fleet
--- a/libraries/fleet/entry_host_document.cpp
+++ b/libraries/fleet/entry_host_document.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
 #include <exception>
 #include <utility>
 
@@ -13,6 +14,17 @@
 
 namespace json = boost::json;
 
+// Written as text, because other programs read the numbers of JSON as doubles.
+std::uint64_t parse_fingerprint(std::string_view text)
+{
+    std::uint64_t fingerprint = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [position, failure] = std::from_chars(text.data(), end, fingerprint);
+    if (failure != std::errc{} || position != end)
+        throw entry_host_error("fingerprint: expected a whole number");
+    return fingerprint;
+}
+
 } // namespace
 
 std::string to_document(entry_host const& host)
@@ -20,6 +32,10 @@
     json::object followers;
     for (auto const& follower : host.followers)
         followers[follower.name] = follower.incarnation;
+    json::array crashes;
+    for (auto const& crash : host.crashes)
+        crashes.push_back({{"fingerprint", std::to_string(crash.fingerprint)},
+                           {"backend_server", crash.backend_server}});
     return json::serialize(json::object{{"address", host.callers.address},
                                         {"caller_port", host.callers.port},
                                         {"relay_port", host.relay_port},
@@ -29,7 +45,8 @@
                                         {"report", host.report},
                                         {"is_leaving", host.is_leaving},
                                         {"capacity", host.capacity},
-                                        {"followers", std::move(followers)}});
+                                        {"followers", std::move(followers)},
+                                        {"crashes", std::move(crashes)}});
 }
 
 entry_host parse_entry_host(std::string_view name, std::string_view text)
@@ -52,6 +69,9 @@
         for (auto const& follower : members.at("followers").as_object())
             host.followers.push_back(
                 {std::string(follower.key()), follower.value().to_number<std::uint64_t>()});
+        for (auto const& crash : members.at("crashes").as_array())
+            host.crashes.push_back({parse_fingerprint(crash.at("fingerprint").as_string()),
+                                    std::string(crash.at("backend_server").as_string())});
         return host;
     }
     // Boost.JSON reports a document of another form by exceptions of the standard library.
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -3,6 +3,7 @@
 
 #include "kernel/log.hpp"
 #include "kernel/plugin.hpp"
+#include "kernel/snapshot.hpp"
 #include "libraries/fleet/entry_host_document.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/object_store/object_store.hpp"
@@ -60,6 +61,7 @@
         , m_client(context.own_settings().store, make_limits(), m_interface.store)
         , m_record(make_record(context.own_settings(), context.incarnation()))
         , m_followers(context.shared<relay_followers>())
+        , m_crashes(context.shared<kernel::snapshot<std::vector<fleet::crash_report>>>())
     {
         context.on_drain(
             [this]()
@@ -85,9 +87,15 @@
     }
 
 private:
-    // A daemon from which this one reads reports it too.
-    [[nodiscard]] bool is_due(kernel::monotonic_time now) const
+    // A daemon from which this one reads reports it too. Crashes cannot wait.
+    [[nodiscard]] bool is_due(kernel::monotonic_time now)
     {
+        auto const* const crashes = m_crashes.get();
+        if (crashes != nullptr && *crashes != m_record.crashes)
+        {
+            m_record.crashes = *crashes;
+            return true;
+        }
         if (m_record.report == 0 || m_record.is_leaving != m_context.is_draining())
             return true;
         bool const is_reported = m_last_end == status::ok && m_followers.is_known_to_relay(now);
@@ -155,6 +163,7 @@
     object_store::client m_client;
     fleet::entry_host m_record;
     relay_followers& m_followers;
+    kernel::snapshot_reader<std::vector<fleet::crash_report>> m_crashes;
     kernel::monotonic_time m_reported_at;
     store::wake_signal m_signal;
     std::uint64_t m_version = 0;
--- a/plugins/gateway/caller_gate.cpp
+++ b/plugins/gateway/caller_gate.cpp
@@ -138,6 +138,13 @@
 namespace
 {
 
+std::string address_of(tcp::socket const& socket)
+{
+    error_code failure;
+    auto const remote = socket.remote_endpoint(failure);
+    return failure ? std::string() : remote.address().to_string();
+}
+
 /// One connection of a caller.
 class session : public std::enable_shared_from_this<session>
 {
@@ -147,6 +154,7 @@
     session(std::shared_ptr<gate> owner, tcp::socket&& socket)
         : m_gate(std::move(owner))
         , m_socket(std::move(socket))
+        , m_caller_address(address_of(m_socket))
         , m_active_at(kernel::monotonic_now())
     {
         m_gate->sessions.insert(this);
@@ -298,6 +306,7 @@
         m_is_last = !m_parser->get().keep_alive();
         auto request = std::make_shared<gateway_request>();
         request->number = ++m_gate->last_number;
+        request->caller_address = m_caller_address;
         request->message = to_request(m_parser->release());
         m_parser.reset();
         auto const& headers = request->message.headers;
@@ -440,6 +449,7 @@
 
     std::shared_ptr<gate> m_gate;
     tcp::socket m_socket;
+    std::string m_caller_address;
     beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::deque<exchange> m_exchanges;
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -191,6 +191,11 @@
 
 bool dispatcher::try_send(request_pointer const& request, kernel::monotonic_time now)
 {
+    if (gateway::is_quarantined(m_crashes, *request, now))
+    {
+        refuse(request, refusal::quarantined, now);
+        return false;
+    }
     auto& state = state_of(request->service);
     auto const waited = seconds_value(now - request->arrived_at);
     auto const target = seconds_value(request->route->target_latency);
@@ -299,12 +304,17 @@
     if (end.result == attempt_result::answered)
     {
         record_success(server);
+        note_answer(m_crashes, *request);
         request->has_run = true;
         auto const ran = seconds_value(now - request->sent_at).count();
         state.run_seconds += (state.run_seconds == 0 ? 1 : smoothing) * (ran - state.run_seconds);
     }
     else
+    {
         record_failure(m_servers, server, failure_of(end), now);
+        if (end.result == attempt_result::broken)
+            note_broken_send(*request, now);
+    }
     auto const service = request->service;
     bool const is_repeatable_failure = end.result == attempt_result::answered &&
                                        is_server_failure(end.received.status) &&
@@ -527,6 +537,7 @@
     if (now - m_adapted_at < adapt_interval)
         return;
     m_adapted_at = now;
+    expire(m_crashes, now);
     m_sharing_hosts = sharing_hosts(m_hosts, now);
     for (auto& [service, state] : m_services)
         update_utilisation(service, state, now);
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "kernel/log.hpp"
 #include "kernel/metrics.hpp"
 #include "kernel/settings.hpp"
+#include "plugins/gateway/crash_watch.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 #include "plugins/gateway/refusal.hpp"
 #include "plugins/gateway/request.hpp"
@@ -35,6 +36,10 @@
     /// Counts the outcome of a request that has ended. Called once for each request of a known
     /// service that bears an id.
     std::function<void(gateway_request const&, outcome)> settle;
+    /// Looks whether the server still listens. server_checked() must follow.
+    std::function<void(server_pointer const&)> check_server;
+    /// Tells the other daemons what crashed servers.
+    std::function<void(std::vector<fleet::crash_report>&&)> report_crashes;
     /// @returns a number in `[0, 1)`.
     std::function<double()> random;
 };
@@ -125,6 +130,9 @@
     void
     attempt_ended(request_pointer const& request, attempt_end&& end, kernel::monotonic_time now);
 
+    /// Handles the end of a check of a server after a send to it broke.
+    void server_checked(server_pointer const& server, bool is_refused, kernel::monotonic_time now);
+
     /// The caller has closed its connection: the request is cancelled or dropped.
     void caller_gone(request_pointer const& request, kernel::monotonic_time now);
 
@@ -165,6 +173,8 @@
                             service_state& state,
                             kernel::monotonic_time now);
     void end_overdue(kernel::monotonic_time now);
+    void note_broken_send(gateway_request const& request, kernel::monotonic_time now);
+    void log_quarantined(std::uint64_t fingerprint, std::string_view source);
     void log_added(std::string const& id);
     void log_lost(std::vector<std::string> const& ids, std::string_view cause);
     [[nodiscard]] bool may_send_cold(known_server& server, kernel::monotonic_time now);
@@ -175,6 +185,7 @@
     kernel::metrics& m_metrics;
     kernel::log_limiter m_request_log;
 
+    crash_watch m_crashes;
     std::shared_ptr<routing::routing_table const> m_table;
     server_table m_servers;
     host_table m_hosts;
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -23,6 +23,12 @@
         *figure += smoothing * (*newest - *figure);
 }
 
+// A server that starts again under its id can crash again.
+std::string incarnation_of(known_server const& server)
+{
+    return server.record.id + '/' + std::to_string(server.record.started_at_ms);
+}
+
 /// Sums of load and slots at one distance.
 struct use_sum
 {
@@ -114,6 +120,53 @@
                        kernel::monotonic_time now)
 {
     gateway::apply(m_hosts, update, now);
+    for (auto const& read : update.changes)
+    {
+        if (!read.record || read.name == m_own_name)
+            continue;
+        for (auto const fingerprint : apply_reports(m_crashes, read.record->crashes, now))
+            log_quarantined(fingerprint, read.name);
+    }
+}
+
+void dispatcher::note_broken_send(gateway_request const& request, kernel::monotonic_time now)
+{
+    auto const& server = request.server;
+    note_break(m_crashes, crash_fingerprint(request), incarnation_of(*server), now);
+    if (server->is_checked || server->is_gone)
+        return;
+    server->is_checked = true;
+    m_actions.check_server(server);
+}
+
+void dispatcher::server_checked(server_pointer const& server,
+                                bool is_refused,
+                                kernel::monotonic_time now)
+{
+    server->is_checked = false;
+    if (!is_refused)
+        return;
+    auto const fingerprints = note_crash(m_crashes, incarnation_of(*server), now);
+    kernel::log_event(kernel::log_level::warning,
+                      "gateway",
+                      "server_crashed",
+                      {{"server", std::string_view(server->record.id)},
+                       {"version", server->version},
+                       {"suspects", fingerprints.size()}});
+    for (auto const fingerprint : fingerprints)
+    {
+        if (retry::is_quarantined(m_crashes.suspects, fingerprint, now))
+            log_quarantined(fingerprint, m_own_name);
+    }
+    m_actions.report_crashes(reports_of(m_crashes));
+}
+
+void dispatcher::log_quarantined(std::uint64_t fingerprint, std::string_view source)
+{
+    kernel::log_event(kernel::log_level::warning,
+                      "gateway",
+                      "request_quarantined",
+                      {{"fingerprint", fingerprint}, {"reported_by", source}});
 }
 
 void dispatcher::apply_server_contact(bool is_reachable, kernel::monotonic_time now)
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -167,6 +167,21 @@
         {
             settle(request, result);
         };
+        actions.check_server = [this](server_pointer const& server)
+        {
+            check_listener(m_loop,
+                           server->record.address,
+                           [this, server](bool is_refused)
+                           {
+                               m_dispatcher.server_checked(
+                                   server, is_refused, kernel::monotonic_now());
+                           });
+        };
+        actions.report_crashes = [this](std::vector<fleet::crash_report>&& reports)
+        {
+            m_context.shared<kernel::snapshot<std::vector<fleet::crash_report>>>().publish(
+                std::make_shared<std::vector<fleet::crash_report> const>(std::move(reports)));
+        };
         actions.random = [this]()
         {
             return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/plugins/gateway/refusal.cpp
+++ b/plugins/gateway/refusal.cpp
@@ -19,7 +19,7 @@
 refusal_text const& text_of(refusal cause)
 {
     // In the order of the enumeration.
-    static constexpr std::array<refusal_text, 12> texts{{
+    static constexpr std::array<refusal_text, 13> texts{{
         {"no_configuration", 503, "Service Unavailable"},
         {"no_route", 404, "Not Found"},
         {"no_server", 503, "Service Unavailable"},
@@ -32,6 +32,7 @@
         {"header_too_large", 431, "Request Header Fields Too Large"},
         {"body_too_large", 413, "Payload Too Large"},
         {"no_memory", 503, "Service Unavailable"},
+        {"quarantined", 503, "Service Unavailable"},
     }};
     return texts.at(static_cast<std::size_t>(cause));
 }
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -36,7 +36,9 @@
     header_too_large,
     body_too_large,
     /// The requests of all callers take too much memory. Not run.
-    no_memory
+    no_memory,
+    /// It crashed several backend servers. Not run this time.
+    quarantined
 };
 
 /// @returns the name used in logs and metric labels.
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -37,6 +37,8 @@
     std::uint64_t number = 0;
     /// The caller's id; empty if it gave none.
     std::string id;
+    /// Network address of the caller, without its port.
+    std::string caller_address;
     caller_request message;
     /// Configuration under which the request is decided from its arrival to its end.
     std::shared_ptr<routing::routing_table const> table;
--- a/plugins/gateway/server_link.cpp
+++ b/plugins/gateway/server_link.cpp
@@ -283,4 +283,40 @@
     return m_implementation->keep_alive;
 }
 
+void check_listener(kernel::event_loop& loop,
+                    kernel::endpoint const& server,
+                    std::function<void(bool is_refused)> handle)
+{
+    struct check
+    {
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::function<void(bool is_refused)> handle;
+
+        void finish(bool is_refused)
+        {
+            timer.cancel();
+            if (auto const once = std::exchange(handle, nullptr))
+                once(is_refused);
+        }
+    };
+    auto const running =
+        std::make_shared<check>(check{tcp::socket(loop.context()),
+                                      asio::steady_timer(loop.context(), connect_timeout),
+                                      std::move(handle)});
+    running->timer.async_wait(
+        [running](error_code failure)
+        {
+            error_code ignored;
+            if (!failure)
+                running->socket.close(ignored);
+        });
+    running->socket.async_connect(
+        tcp::endpoint(asio::ip::make_address(server.address), server.port),
+        [running](error_code failure)
+        {
+            running->finish(failure == asio::error::connection_refused);
+        });
+}
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_link.hpp
+++ b/plugins/gateway/server_link.hpp
@@ -21,6 +21,13 @@
 /// Makes the text of a request when it is about to be written.
 using request_writer = std::function<std::string()>;
 
+/// Looks whether anything listens at an address.
+/// @param handle called once, with true if the connection was refused. A lost or late answer proves
+/// nothing and counts as listening.
+void check_listener(kernel::event_loop& loop,
+                    kernel::endpoint const& server,
+                    std::function<void(bool is_refused)> handle);
+
 /// A connection that carries one exchange at a time.
 class server_link
 {
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -67,6 +67,8 @@
     /// It refused or failed, and is not chosen before this time.
     kernel::monotonic_time avoided_until;
     std::uint32_t failures_in_row = 0;
+    /// Whether it is being looked whether anything listens at its address.
+    bool is_checked = false;
     /// Second of the monotonic clock and requests sent in it while cold.
     std::int64_t cold_second = 0;
     double cold_sent = 0;
--- a/plugins/retry/quarantine.cpp
+++ b/plugins/retry/quarantine.cpp
@@ -79,7 +79,8 @@
 bool record_broken(quarantine& state,
                    std::uint64_t request_fingerprint,
                    std::string_view backend_server,
-                   kernel::monotonic_time now)
+                   kernel::monotonic_time now,
+                   std::size_t strikes)
 {
     auto& entry = find_or_add(state, request_fingerprint);
     if (!is_current(entry, now))
@@ -90,7 +91,7 @@
     auto& servers = entry.backend_servers;
     if (std::find(servers.begin(), servers.end(), backend_server) == servers.end())
         servers.emplace_back(backend_server);
-    entry.is_quarantined = servers.size() >= strikes_to_quarantine;
+    entry.is_quarantined = servers.size() >= strikes;
     return entry.is_quarantined;
 }
 
--- a/plugins/retry/quarantine.hpp
+++ b/plugins/retry/quarantine.hpp
@@ -43,11 +43,13 @@
 [[nodiscard]] std::uint64_t fingerprint(std::string_view service, std::string_view body);
 
 /// Notes that `backend_server` broke its connection while it ran a request.
+/// @param strikes different backend servers that quarantine the request.
 /// @returns true if this quarantines the fingerprint now, so that other daemons must be told.
 [[nodiscard]] bool record_broken(quarantine& state,
                                  std::uint64_t request_fingerprint,
                                  std::string_view backend_server,
-                                 kernel::monotonic_time now);
+                                 kernel::monotonic_time now,
+                                 std::size_t strikes = strikes_to_quarantine);
 
 /// Notes that the request was answered; clears a suspicion that has not led to a quarantine.
 void record_answered(quarantine& state, std::uint64_t request_fingerprint);
--- /dev/null
+++ b/tests/gateway/crash_watch_test.cpp
@@ -0,0 +1,203 @@
+#include "plugins/gateway/crash_watch.hpp"
+#include "tests/gateway/dispatcher_fixture.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using gateway::attempt_result;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+kernel::monotonic_time const start{std::chrono::hours(1)};
+
+} // namespace
+
+/// A dispatcher with five servers, and the reports of another daemon.
+class crash_fixture : public gateway_test::dispatcher_fixture
+{
+protected:
+    crash_fixture()
+    {
+        for (int number = 1; number <= 5; ++number)
+            add_server("i-" + std::to_string(number), "sve-a", 10);
+    }
+
+    /// Has the request's last send break and its server found as given. A server that crashed
+    /// starts again under its id.
+    void break_off(gateway::request_pointer const& request, bool is_crashed)
+    {
+        auto const server = request->server;
+        auto const checks = m_checked.size();
+        end(request, attempt_result::broken);
+        REQUIRE(m_checked.size() == checks + 1);
+        m_dispatcher->server_checked(server, is_crashed, m_now);
+        if (!is_crashed)
+            return;
+        auto record = server->record;
+        ++record.started_at_ms;
+        m_dispatcher->apply(
+            events::store_update<fleet::backend_server>{false, 3, {{record.id, 3, record}}}, m_now);
+    }
+
+    void hear_from_other_host(std::vector<fleet::crash_report> crashes)
+    {
+        fleet::entry_host host;
+        host.name = "host-2";
+        host.report = 1;
+        host.crashes = std::move(crashes);
+        m_dispatcher->apply(
+            events::store_update<fleet::entry_host>{false, 2, {{host.name, 2, host}}}, m_now);
+    }
+};
+
+// Guards against a request that takes one server after the other out of service: at the third crash
+// it is refused everywhere.
+TEST_CASE_METHOD(crash_fixture, "crash_of_three_servers_quarantines_the_request", "[gateway]")
+{
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        auto const request = begin("/o/poison");
+        REQUIRE(request->state == gateway::request_state::running);
+        break_off(request, true);
+        CHECK(status_of(request) == 502);
+        m_now += seconds(5);
+        m_dispatcher->tick(m_now);
+    }
+    auto const sent = m_sent.size();
+    CHECK(status_of(begin("/o/poison")) == 503);
+    CHECK(m_sent.size() == sent);
+    CHECK(m_reports.size() == 3);
+    // Other requests of the same route go on.
+    static_cast<void>(begin("/o/other"));
+    CHECK(m_sent.size() == sent + 1);
+}
+
+// The request comes at any entry host, so that none of them sees three crashes.
+TEST_CASE_METHOD(crash_fixture, "crash_reports_of_other_hosts_count", "[gateway]")
+{
+    auto const request = begin("/o/poison");
+    break_off(request, true);
+    REQUIRE(m_reports.size() == 1);
+    auto const fingerprint = m_reports.front().fingerprint;
+    hear_from_other_host({{fingerprint, "i-8"}});
+    auto const again = begin("/o/poison");
+    CHECK(status_of(again) == 0);
+    end(again, attempt_result::never_sent);
+    hear_from_other_host({{fingerprint, "i-8"}, {fingerprint, "i-9"}});
+    CHECK(status_of(begin("/o/poison")) == 503);
+}
+
+// Load pattern: servers lose answers or are cut off. Nobody crashed, so nothing is quarantined.
+TEST_CASE_METHOD(crash_fixture, "crash_is_not_assumed_where_a_server_still_listens", "[gateway]")
+{
+    for (int number = 0; number < 10; ++number)
+    {
+        break_off(begin("/o/honest"), false);
+        m_now += seconds(2);
+    }
+    CHECK(m_reports.empty());
+    CHECK(status_of(begin("/o/honest")) == 0);
+}
+
+// Load pattern: many servers crash for reasons of their own, while popular requests run there.
+// These are answered elsewhere between two crashes.
+TEST_CASE_METHOD(crash_fixture, "crash_suspect_that_is_answered_is_innocent", "[gateway]")
+{
+    for (int number = 0; number < 6; ++number)
+    {
+        break_off(begin("/o/popular"), true);
+        m_now += seconds(2);
+        end(begin("/o/popular"), attempt_result::answered);
+    }
+    CHECK(status_of(begin("/o/popular")) == 0);
+}
+
+// A broken request that may be repeated is sent again at once; at the third crash that ends too.
+TEST_CASE_METHOD(crash_fixture, "crash_of_an_idempotent_request_ends_its_retries", "[gateway]")
+{
+    auto const first = begin("/i/poison");
+    break_off(first, true);
+    REQUIRE(m_sent.size() == 2);
+    break_off(first, true);
+    m_now += seconds(5);
+    auto const second = begin("/i/poison");
+    break_off(second, true);
+    m_now += seconds(5);
+    auto const sent = m_sent.size();
+    CHECK(status_of(begin("/i/poison")) == 503);
+    CHECK(m_sent.size() == sent);
+}
+
+TEST_CASE("crash_fingerprint_tells_callers_targets_and_bodies_apart", "[gateway]")
+{
+    gateway::gateway_request one;
+    one.service = "s";
+    one.caller_address = "10.0.0.1";
+    one.message = {"POST", "/o/1", {{"X", "y"}}, "body"};
+    auto other = one;
+    other.message.headers.clear();
+    other.id = "another attempt";
+    CHECK(gateway::crash_fingerprint(one) == gateway::crash_fingerprint(other));
+    for (auto* const changed :
+         {&other.caller_address, &other.message.target, &other.message.body, &other.service})
+    {
+        auto const before = *changed;
+        *changed += "x";
+        CHECK(gateway::crash_fingerprint(one) != gateway::crash_fingerprint(other));
+        *changed = before;
+    }
+}
+
+TEST_CASE("crash_watch_breaks_without_evidence_are_forgotten", "[gateway]")
+{
+    gateway::crash_watch state;
+    gateway::note_break(state, 7, "i-1", start);
+    CHECK(gateway::note_crash(state, "i-2", start).empty());
+    CHECK(gateway::note_crash(state, "i-1", start + gateway::crash_evidence_time).empty());
+    for (std::size_t number = 0; number < 2 * gateway::most_open_breaks; ++number)
+        gateway::note_break(state, number, "i-1", start);
+    CHECK(state.open.size() == gateway::most_open_breaks);
+    CHECK(gateway::note_crash(state, "i-1", start).size() == gateway::most_open_breaks);
+    CHECK(gateway::reports_of(state).size() == gateway::most_crash_reports);
+    gateway::expire(state, start + retry::quarantine_time);
+    CHECK(gateway::reports_of(state).empty());
+    CHECK(state.suspects.suspicions.empty());
+}
+
+// The bound of the fleet: whoever sees which crash, after the third one has been told nobody sends.
+TEST_CASE("crash_watch_any_order_of_reports_quarantines_at_the_third_server", "[gateway]")
+{
+    rc::prop(
+        "three different servers quarantine, fewer do not",
+        []()
+        {
+            gateway::crash_watch state;
+            gateway::gateway_request request;
+            auto const fingerprint = gateway::crash_fingerprint(request);
+            std::set<int> seen;
+            for (auto const server : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5)))
+            {
+                auto const id = std::to_string(server);
+                if (server % 2 == 0)
+                {
+                    gateway::note_break(state, fingerprint, id, start);
+                    gateway::note_crash(state, id, start);
+                }
+                else
+                {
+                    std::vector<fleet::crash_report> const told{{fingerprint, id}};
+                    gateway::apply_reports(state, told, start);
+                }
+                seen.insert(server);
+                RC_ASSERT(gateway::is_quarantined(state, request, start) == (seen.size() >= 3));
+            }
+        });
+}
+
+} // namespace pistachiohub
--- a/tests/gateway/dispatcher_fixture.hpp
+++ b/tests/gateway/dispatcher_fixture.hpp
@@ -32,6 +32,10 @@
     std::vector<gateway::request_pointer> m_sent;
     std::vector<gateway::request_pointer> m_cancelled;
     std::map<std::uint64_t, delivered> m_replies;
+    /// Servers whose address is to be checked.
+    std::vector<gateway::server_pointer> m_checked;
+    /// Crashes that the other daemons were told.
+    std::vector<fleet::crash_report> m_reports;
     /// Outcomes by the caller's id.
     std::multimap<std::string, outcome> m_settled;
     double m_random = 0.5;
@@ -69,6 +73,14 @@
         {
             m_settled.emplace(request.id, result);
         };
+        actions.check_server = [this](gateway::server_pointer const& server)
+        {
+            m_checked.push_back(server);
+        };
+        actions.report_crashes = [this](std::vector<fleet::crash_report>&& reports)
+        {
+            m_reports = std::move(reports);
+        };
         actions.random = [this]()
         {
             return m_random;
