--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -44,4 +44,7 @@
   add_test(NAME demo_platform
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --base-port 32400)
   set_tests_properties(demo_platform PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
+  add_test(NAME demo_platform_restart
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --kill-all --base-port 32500)
+  set_tests_properties(demo_platform_restart PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
 endif()
