gateway: Start the placement of a service with its first servers

Cause: read again, the first request of a service whose servers are not known yet let the next update start the placement with all objects at home, which is what the start by capacity avoids. Change: the placement starts with the first servers that are known. Test: dispatcher_first_requests_are_placed_by_capacity has a second case, a request before the first server.

--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -204,6 +204,9 @@
     smooth(state.used.everywhere, sums[2].share());
     slot_counts const slots{
         sums[0].slots, sums[1].slots - sums[0].slots, sums[2].slots - sums[1].slots};
+    // A service whose servers are unknown yet starts with the first of them.
+    if (!state.spill.is_started)
+        return start_spill_of(service, state, now);
     served_parts const served{served_part(state.in_region), served_part(state.outside)};
     update_spill(state.spill, state.used, slots, served, m_bounds.shift, now);
     fade(state.in_region);
@@ -219,12 +222,21 @@
     {
         if (!is_usable(m_servers, *server))
             continue;
-        auto& at_distance = server->how_far == distance::other_region  ? slots.other_regions
-                            : server->how_far == distance::same_region ? slots.own_region
-                                                                       : slots.own_domain;
-        at_distance += server->record.slots;
+        switch (server->how_far)
+        {
+        case distance::same_domain:
+            slots.own_domain += server->record.slots;
+            break;
+        case distance::same_region:
+            slots.own_region += server->record.slots;
+            break;
+        case distance::other_region:
+            slots.other_regions += server->record.slots;
+        }
     }
     start_spill(state.spill, slots, part_of_hosts_in_region(m_hosts, now), now);
+    if (!state.spill.is_started)
+        return;
     kernel::log_event(kernel::log_level::info,
                       "gateway",
                       "spill_started",
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -370,8 +370,13 @@
 {
     m_document.routes[0].has_affinity = true;
     publish(2);
-    add_server("i-1", "sve-a", 100);
+    // A request before the first server is known starts nothing.
+    if (GENERATE(false, true))
+        CHECK(status_of(begin("/i/1")) == 503);
+    m_now += milliseconds(300);
+    m_dispatcher->tick(m_now);
     add_server("i-2", "got-a", 300);
+    add_server("i-1", "sve-a", 100);
     int at_home = 0;
     for (int number = 0; number < 100; ++number)
         at_home += begin("/i/1", "object-" + std::to_string(number))->server->record.id == "i-1";
