gateway: Count a repeated crash report once

Cause: read again, a host repeats its crash reports with each registration for ten minutes, and each reading counted anew. An answer clears a suspect, but three old reports of different hosts, read again before the next answer, would have quarantined an innocent request. Change: a daemon applies each report once, and a host drops its reports of a request that was answered since. Test: crash_reports_that_are_repeated_count_once (failed by reading: the third report followed two that were cleared) and crash_suspect_that_is_answered_is_not_reported.

--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -59,11 +59,17 @@
     std::vector<std::uint64_t> quarantined;
     for (auto const& report : reports)
     {
-        if (retry::record_broken(state.suspects,
-                                 report.fingerprint,
-                                 report.backend_server,
-                                 now,
-                                 crashes_to_quarantine))
+        if (state.heard.size() >= most_heard_reports)
+            break;
+        bool const is_new = state.heard
+                                .try_emplace({report.fingerprint, report.backend_server},
+                                             now + retry::quarantine_time)
+                                .second;
+        if (is_new && retry::record_broken(state.suspects,
+                                           report.fingerprint,
+                                           report.backend_server,
+                                           now,
+                                           crashes_to_quarantine))
             quarantined.push_back(report.fingerprint);
     }
     return quarantined;
@@ -71,8 +77,15 @@
 
 void note_answer(crash_watch& state, gateway_request const& request)
 {
-    if (!state.suspects.suspicions.empty())
-        retry::record_answered(state.suspects, crash_fingerprint(request));
+    if (state.suspects.suspicions.empty())
+        return;
+    auto const fingerprint = crash_fingerprint(request);
+    retry::record_answered(state.suspects, fingerprint);
+    std::erase_if(state.found,
+                  [fingerprint](auto const& entry)
+                  {
+                      return entry.first.fingerprint == fingerprint;
+                  });
 }
 
 bool is_quarantined(crash_watch const& state,
@@ -90,6 +103,11 @@
         state.open.pop_front();
     while (!state.found.empty() && now >= state.found.front().second)
         state.found.pop_front();
+    std::erase_if(state.heard,
+                  [now](auto const& entry)
+                  {
+                      return now >= entry.second;
+                  });
     retry::expire(state.suspects, now);
 }
 
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -13,9 +13,11 @@
 #include "plugins/retry/quarantine.hpp"
 
 #include <deque>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pistachiohub::gateway
@@ -34,6 +36,10 @@
 /// Broken sends that wait for evidence.
 inline constexpr std::size_t most_open_breaks = 1024;
 
+/// Reports of other daemons that are remembered: those of some hundred hosts. Further ones are not
+/// applied.
+inline constexpr std::size_t most_heard_reports = 16384;
+
 /// A send that broke, and the server whose fate is open.
 struct open_break
 {
@@ -49,6 +55,9 @@
     std::deque<open_break> open;
     /// Crashes that this daemon found, with the times at which they are forgotten.
     std::deque<std::pair<fleet::crash_report, kernel::monotonic_time>> found;
+    /// Reports of other daemons that were applied, with the times at which they are forgotten. A
+    /// host repeats its reports, but the suspect may have been answered since.
+    std::map<std::pair<std::uint64_t, std::string>, kernel::monotonic_time> heard;
 };
 
 /// @returns the fingerprint of a request: its service, caller, method, target and body.
@@ -65,13 +74,14 @@
 std::vector<std::uint64_t>
 note_crash(crash_watch& state, std::string_view server, kernel::monotonic_time now);
 
-/// Applies what another daemon found.
+/// Applies what another daemon found and has not reported before.
 /// @returns the fingerprints that are quarantined by it.
 std::vector<std::uint64_t> apply_reports(crash_watch& state,
                                          std::span<fleet::crash_report const> reports,
                                          kernel::monotonic_time now);
 
-/// Notes that a server answered the request: it does not crash them.
+/// Notes that a server answered the request: it does not crash them. The other daemons are not told
+/// any more that it is a suspect.
 void note_answer(crash_watch& state, gateway_request const& request);
 
 /// @returns whether the request must not be sent.
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -118,6 +118,31 @@
     CHECK(status_of(begin("/o/popular")) == 0);
 }
 
+// Load pattern: many servers crash over minutes, and hosts repeat their reports all the time. A
+// suspect that was answered since must not gather old reports until it is refused.
+TEST_CASE_METHOD(crash_fixture, "crash_reports_that_are_repeated_count_once", "[gateway]")
+{
+    auto const request = begin("/i/popular");
+    auto const fingerprint = gateway::crash_fingerprint(*request);
+    end(request, attempt_result::answered);
+    hear_from_other_host({{fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}});
+    end(begin("/i/popular"), attempt_result::answered);
+    hear_from_other_host({{fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}, {fingerprint, "i-7/1"}});
+    CHECK(status_of(begin("/i/popular")) == 0);
+    hear_from_other_host({{fingerprint, "i-6/1"}, {fingerprint, "i-5/1"}});
+    CHECK(status_of(begin("/i/popular")) == 503);
+}
+
+TEST_CASE_METHOD(crash_fixture, "crash_suspect_that_is_answered_is_not_reported", "[gateway]")
+{
+    break_off(begin("/o/popular"), true);
+    CHECK(m_reports.size() == 1);
+    end(begin("/o/popular"), attempt_result::answered);
+    break_off(begin("/o/other"), true);
+    REQUIRE(m_reports.size() == 1);
+    CHECK(m_reports.front().fingerprint == gateway::crash_fingerprint(*m_sent.back()));
+}
+
 // A broken request that may be repeated is sent again at once; at the third crash that ends too.
 TEST_CASE_METHOD(crash_fixture, "crash_of_an_idempotent_request_ends_its_retries", "[gateway]")
 {
