gateway: Name a host to callers only once it is ready

Change: a daemon that is not ready leaves itself out, so that it names the other hosts that it knows, or nobody, and the caller asks the next directory. Ruled out: asking other daemons for the configuration (no host is known before the store was read, and the settings name none). Test: gateway_directory_names_only_ready_hosts.

--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -14,7 +14,7 @@
 select(host_table const& table, kernel::monotonic_time now, Matches&& matches)
 {
     std::vector<kernel::endpoint> selected;
-    if (!table.own.is_leaving && matches(table.own))
+    if (table.is_own_ready && !table.own.is_leaving && matches(table.own))
         selected.push_back(table.own.callers);
     for (auto const& [name, host] : table.hosts)
     {
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -30,6 +30,8 @@
 {
     /// The host of this daemon, which needs no report to be live.
     fleet::entry_host own;
+    /// Whether this daemon can serve requests. Until then it names only other hosts to callers.
+    bool is_own_ready = true;
     /// The other hosts.
     routing::text_map<known_host> hosts;
     /// Whether all registered hosts were read.
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -99,6 +99,7 @@
         , m_directory(make_server(m_settings.directory, &gateway_duty::answer_directory))
         , m_metrics(make_server(m_settings.metrics, &gateway_duty::answer_metrics))
     {
+        m_dispatcher.hosts().is_own_ready = false;
         // Datagrams and streams have ports of their own, so the relay's number serves both.
         if (m_settings.relay.port != 0)
             m_loads = std::make_unique<load_exchange>(
@@ -324,6 +325,7 @@
 
     void note_readiness()
     {
+        m_dispatcher.hosts().is_own_ready = m_dispatcher.is_ready();
         if (is_ready() == m_was_ready)
             return;
         m_was_ready = is_ready();
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -95,7 +95,17 @@
     std::unique_ptr<kernel::duty> m_gateway;
     std::unique_ptr<support::running_duty> m_running;
 
-    gateway_fixture()
+    explicit gateway_fixture(bool has_store = true)
+    {
+        if (has_store)
+            push_store();
+        m_gateway = create_gateway(m_context);
+        REQUIRE(m_gateway);
+        m_running = std::make_unique<support::running_duty>(*m_gateway);
+    }
+
+    /// What a daemon reads of the store before it is ready.
+    void push_store()
     {
         routing::routing_document document;
         document.version = 1;
@@ -106,9 +116,6 @@
         push(events::store_update<routing::routing_document>{true, 1, {{"main", 1, document}}});
         push(events::store_update<fleet::entry_host>{true, 1, {}});
         add_server("i-1", m_server);
-        m_gateway = create_gateway(m_context);
-        REQUIRE(m_gateway);
-        m_running = std::make_unique<support::running_duty>(*m_gateway);
     }
 
     static void add_route(routing::routing_document& document,
@@ -396,6 +403,54 @@
     CHECK(server.receive_message().ends_with("\r\n\r\nbody"));
 }
 
+/// A gateway that has read nothing of the store, as after a restart while the store is away.
+class gateway_without_store_fixture : public gateway_fixture
+{
+protected:
+    gateway_without_store_fixture()
+        : gateway_fixture(false)
+    {
+    }
+};
+
+// A daemon that restarted while the store was away named itself, and refused all who came.
+TEST_CASE_METHOD(gateway_without_store_fixture,
+                 "gateway_directory_names_only_ready_hosts",
+                 "[gateway]")
+{
+    auto const& gateway = *m_settings.gateway;
+    std::string const target = "/pistachiohub/resolve?name=a.example&region=svealand&zone=sve-a";
+    CHECK(has_status(fetch(gateway.directory.port, target), "503"));
+    fleet::entry_host other;
+    other.name = "host-2";
+    other.callers = {"10.0.0.2", 80};
+    other.failure_domain = "sve-a";
+    other.region = "svealand";
+    other.report = 1;
+    push(events::store_update<fleet::entry_host>{true, 1, {{other.name, 1, other}}});
+    // It is live once a report was seen to follow another.
+    other.report = 2;
+    push(events::store_update<fleet::entry_host>{false, 2, {{other.name, 2, other}}});
+    std::string answer;
+    auto const is_named = [&](std::string const& address)
+    {
+        answer = fetch(gateway.directory.port, target);
+        return answer.find(address) != std::string::npos;
+    };
+    CHECK(support::eventually(
+        [&is_named]()
+        {
+            return is_named("10.0.0.2:80");
+        }));
+    CHECK(answer.find(to_string(gateway.callers)) == std::string::npos);
+    push_store();
+    CHECK(support::eventually(
+        [&]()
+        {
+            return is_named(to_string(gateway.callers));
+        }));
+}
+
 TEST_CASE_METHOD(gateway_fixture, "gateway_directory_names_this_host_until_it_drains", "[gateway]")
 {
     auto const& gateway = *m_settings.gateway;
