gateway: Count the callers of a region by its registered hosts

Change: registered hosts count whether they have reported or not; while none was read, callers count as even over the regions. Test: callers_of_the_region_are_known_before_other_hosts_report.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <set>
 
 namespace pistachiohub::gateway
 {
@@ -119,6 +120,10 @@
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
     m_servers.region_of_domain = own.gateway->region_of_domain;
+    std::set<std::string_view> regions;
+    for (auto const& [domain, region] : own.gateway->region_of_domain)
+        regions.insert(region);
+    m_regions = regions.size();
     m_servers.entry_lapse = heartbeats_of_lapse * own.gateway->server_heartbeat;
     m_hosts.own.name = own.name;
     m_hosts.own.callers = own.gateway->callers;
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -180,6 +180,8 @@
     [[nodiscard]] bool may_send_cold(known_server& server, kernel::monotonic_time now);
 
     std::string m_own_name;
+    /// Number of regions.
+    std::size_t m_regions = 0;
     kernel::gateway_bounds m_bounds;
     dispatcher_actions m_actions;
     kernel::metrics& m_metrics;
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -234,7 +234,7 @@
             slots.other_regions += server->record.slots;
         }
     }
-    start_spill(state.spill, slots, part_of_hosts_in_region(m_hosts, now), now);
+    start_spill(state.spill, slots, part_of_hosts_in_region(m_hosts, m_regions), now);
     if (!state.spill.is_started)
         return;
     kernel::log_event(kernel::log_level::info,
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -155,13 +155,15 @@
     return {reader.name, {reader.callers.address, reader.relay_port}};
 }
 
-double part_of_hosts_in_region(host_table const& table, kernel::monotonic_time now)
+double part_of_hosts_in_region(host_table const& table, std::size_t regions)
 {
+    if (!table.has_list)
+        return 1.0 / static_cast<double>(std::max<std::size_t>(regions, 1));
     std::size_t all = 1;
     std::size_t near = 1;
     for (auto const& [name, host] : table.hosts)
     {
-        if (!is_live(table, host, now))
+        if (host.record.is_leaving)
             continue;
         ++all;
         near += host.record.region == table.own.region ? 1 : 0;
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -83,8 +83,10 @@
 /// @returns an empty choice for the first of a group.
 [[nodiscard]] fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now);
 
-/// @returns the part of the live hosts that are in the own region: callers are spread over them.
-[[nodiscard]] double part_of_hosts_in_region(host_table const& table, kernel::monotonic_time now);
+/// @returns the part of the registered hosts that are in the own region: callers are spread over
+/// them. Hosts that are silent count, because after a loss of power all of them are at first.
+/// @param regions number of regions, over which the callers count as even while no host is known.
+[[nodiscard]] double part_of_hosts_in_region(host_table const& table, std::size_t regions);
 
 /// Chooses entry hosts for a caller: those of its failure domain, else of its region, else all.
 [[nodiscard]] std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -251,6 +251,26 @@
     CHECK(busy.avoided_until - m_now <= milliseconds(100));
 }
 
+// Load pattern: all daemons start again at once. The first placement must not take this host for
+// the only one, while the others are not known yet or have not reported again.
+TEST_CASE_METHOD(host_table_fixture,
+                 "callers_of_the_region_are_known_before_other_hosts_report",
+                 "[gateway]")
+{
+    gateway::host_table const unknown;
+    CHECK(gateway::part_of_hosts_in_region(unknown, 4) == Approx(0.25));
+    m_table.has_list = true;
+    read(make_host("host-b", m_table.own.failure_domain, 1));
+    auto near = make_host("host-c", "got-a", 1);
+    near.region = "another";
+    read(near);
+    near.name = "host-d";
+    read(near);
+    CHECK(gateway::part_of_hosts_in_region(m_table, 4) == Approx(0.5));
+    m_now += std::chrono::hours(1);
+    CHECK(gateway::part_of_hosts_in_region(m_table, 4) == Approx(0.5));
+}
+
 TEST_CASE_METHOD(host_table_fixture, "directory_names_hosts_of_the_callers_domain", "[gateway]")
 {
     read(make_host("host-b", "sve-b", 1));
