gateway: Do not copy the first server of an object

Cause: the linter reports the copy of a shared pointer as needless (performance-unnecessary-copy-initialization). The choice itself is unchanged.

--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -165,7 +165,7 @@
                         std::function<bool(known_server&)> const& may_send_cold)
 {
     auto const ranked = rank(found, request, input.spill);
-    auto const first = ranked.front();
+    auto const& first = ranked.front();
     for (auto const& server : ranked)
     {
         if (may_move(first->how_far, server->how_far, input) &&
