--- a/plugins/gateway/load_exchange.hpp
+++ b/plugins/gateway/load_exchange.hpp
@@ -59,7 +59,7 @@
     /// Loads that were learned until then have been told.
     kernel::monotonic_time m_told_until;
     kernel::monotonic_time m_sent_at;
-    /// One byte more than the longest datagram, so that a longer one is noticed.
+    /// Longer than the longest datagram that is read, so that a longer one is refused.
     std::array<char, 1500> m_buffer{};
     endpoint m_sender;
 };
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -413,7 +413,7 @@
     }
 };
 
-// A daemon that restarted while the store was away named itself, and refused all who came.
+// A daemon that has read nothing of the store can serve nobody, and must not draw callers.
 TEST_CASE_METHOD(gateway_without_store_fixture,
                  "gateway_directory_names_only_ready_hosts",
                  "[gateway]")
