tests: Count an id that a fence and its frozen owner both refused

Cause: meta/check-history held that an id told not_run (fenced) is never counted by its owner. Both sides say not_run once; only the checker left the caller's out (30 against 31). Ruled out: a request refused without a caller (each of the 30 others has its answer journal_unavailable), a double count of one id (31 = 30 + the fenced one), a run (no backend server logged the id). Change: such an id may be settled as not_run at most once, and only if a transmission to its owner ended without an answer; told fenced without one it still must not be settled. Two counts, ran or unresolved for it are violations as before. The kept logs are a test.

--- a/tests/check_history_test.py
+++ b/tests/check_history_test.py
@@ -5,10 +5,12 @@
 import pathlib
 import subprocess
 import sys
+import tarfile
 import tempfile
 import unittest
 
 CHECKER = pathlib.Path(__file__).resolve().parent.parent / "meta" / "check-history"
+FINDINGS = pathlib.Path(__file__).resolve().parent / "findings"
 OWNER = "host-1.7"
 
 
@@ -119,6 +121,36 @@
         report = self.check([told("a", "ran")], [ran("a")], settled(ran=1, unresolved=1))
         self.assert_kinds(report, "settlement_unresolved", "settlement_total")
 
+    def test_fenced_id_that_a_frozen_owner_refuses_too_may_be_settled_once(self):
+        sent = [{"host": "host-1", "number": 1, "end": "timed_out"},
+                {"host": "host-2", "number": 2, "end": "answered", "outcome": "not_run", "reason": "fenced"}]
+        history = [told("a", "not_run", "fenced", transmissions=sent)]
+        self.assert_kinds(self.check(history, [], settled(not_run=0)))
+        self.assert_kinds(self.check(history, [], settled(not_run=1)))
+        self.assert_kinds(self.check(history, [], settled(not_run=2)), "settlement_not_run", "settlement_total")
+        self.assert_kinds(self.check(history, [], settled(ran=1)), "settlement_ran")
+        self.assert_kinds(self.check(history, [], settled(unresolved=1)), "settlement_unresolved")
+        self.assert_kinds(self.check(history, [ran("a")], settled(not_run=1)), "not_run_ran")
+
+    def test_fenced_id_that_never_reached_its_owner_is_not_settled(self):
+        for end in ("never_sent", "answered"):
+            sent = [{"host": "host-1", "number": 1, "end": end},
+                    {"host": "host-2", "number": 2, "end": "timed_out"}]
+            history = [told("a", "not_run", "fenced", transmissions=sent)]
+            self.assert_kinds(self.check(history, [], settled(not_run=1)), "settlement_not_run", "settlement_total")
+
+    def test_kept_logs_of_a_freeze_with_an_id_refused_twice_have_no_violation(self):
+        with tempfile.TemporaryDirectory() as folder:
+            with tarfile.open(FINDINGS / "demo-freeze-2026-12-04.tar.gz") as kept:
+                kept.extractall(folder)
+            (logs,) = pathlib.Path(folder).iterdir()
+            command = [sys.executable, str(CHECKER), "--history", str(logs / "load.history"),
+                       "--settlement", str(logs / "settlement.json"), "--journal", str(logs / "journal.json")]
+            for log in logs.glob("*.log"):
+                command += ["--backend-log", str(log)]
+            finished = subprocess.run(command, capture_output=True, text=True, check=False)
+        self.assertEqual(finished.returncode, 0, finished.stdout)
+
     def test_unresolved_call_that_the_settlement_resolved_is_no_violation(self):
         self.assert_kinds(self.check([told("a", "unresolved", "deadline")], [ran("a")], settled(ran=1)))
 
