platform: Refuse only the part of a configuration that cannot be read

Ruled out: naming the new kind only; the next unknown word would have done the same. A route whose terms cannot be read, a split part without a service and a service that cannot be read refuse their own requests with 503 unreadable_configuration and a Retry-After of 2 s; with a route whose place is unknown an unmatched request gets 503 instead of 404. Each fault is a log line with field, value and what is permitted, and a counter; config check reports it. Only config/main is a configuration; another object of that kind could replace it before.

--- a/libraries/routing/route.hpp
+++ b/libraries/routing/route.hpp
@@ -21,6 +21,7 @@
 /// One of the services among which a route distributes its requests.
 struct split_part
 {
+    /// Empty if it could not be read; requests of this part are refused.
     std::string service;
     std::uint32_t weight = 1;
 };
@@ -48,6 +49,8 @@
     std::vector<split_part> split;
     /// Regions that may serve the route; empty permits all.
     std::vector<std::string> home_regions;
+    /// Whether all fields that bind could be read; requests of an unreadable route are refused.
+    bool is_readable = true;
 };
 
 /// A group of backend servers with the same work.
@@ -59,6 +62,8 @@
     std::chrono::milliseconds cold_time{0};
     /// Requests a second that a cold backend server tolerates.
     double cold_requests_per_second = 0;
+    /// Whether all fields could be read; requests for an unreadable service are refused.
+    bool is_readable = true;
 };
 
 /// What callers may send, and how long they may take.
@@ -70,6 +75,15 @@
     std::chrono::milliseconds idle_time{15000};
 };
 
+/// A part of a configuration that could not be read.
+struct unreadable_part
+{
+    /// Path of the part, for example `routes.checkout`.
+    std::string path;
+    /// The field, its value and what is permitted.
+    std::string fault;
+};
+
 /// One version of the configuration.
 struct routing_document
 {
@@ -77,6 +91,11 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits;
+    /// What could not be read; the rest applies.
+    std::vector<unreadable_part> unreadable;
+    /// Whether a route's host or path prefix could not be read. A request that matches no other
+    /// route may be meant for it.
+    bool has_unplaced_route = false;
 };
 
 } // namespace pistachiohub::routing
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -6,6 +6,8 @@
 #include "plugins/discovery/object_feed.hpp"
 #include "plugins/discovery/rhythm.hpp"
 
+#include <algorithm>
+
 namespace pistachiohub::discovery
 {
 
@@ -13,6 +15,8 @@
 {
 
 constexpr int first_start_order = 110;
+// Unreadable parts of one configuration that are logged one by one; the rest is counted.
+constexpr std::size_t max_logged_parts = 20;
 
 interface::deployment_interface const& interface_of(kernel::daemon_context& context)
 {
@@ -41,6 +45,28 @@
                        {"error", std::string_view(failure.what())}});
 }
 
+/// Logs the parts of a configuration that could not be read.
+void log_unreadable_parts(kernel::daemon_context& context,
+                          object_store::object const& read,
+                          routing::routing_document const& document)
+{
+    auto const& parts = document.unreadable;
+    if (parts.empty())
+        return;
+    context.own_metrics()
+        .find_counter("pistachiohub_discovery_unreadable_configuration_parts_total")
+        .increment(static_cast<double>(parts.size()));
+    for (std::size_t number = 0; number < std::min(parts.size(), max_logged_parts); ++number)
+        kernel::log_event(kernel::log_level::warning,
+                          "discovery",
+                          "configuration_part_unreadable",
+                          {{"path", std::string_view(parts[number].path)},
+                           {"error", std::string_view(parts[number].fault)},
+                           {"version", document.version},
+                           {"object_version", read.version},
+                           {"unreadable_parts", parts.size()}});
+}
+
 /// Makes a feed that decodes each object by `decode`, which may throw kernel::error. An object that
 /// cannot be read counts as absent; the others hold.
 template<class Record, class Decode>
@@ -74,10 +100,19 @@
 std::unique_ptr<kernel::duty> create_configuration_feed(kernel::daemon_context& context)
 {
     auto const& spoken = interface_of(context);
-    return make_feed<routing::routing_document>(context,
-                                                spoken.kinds.configuration,
-                                                configuration_rhythm(bounds_of(context)),
-                                                spoken.decode_configuration);
+    return make_feed<routing::routing_document>(
+        context,
+        spoken.kinds.configuration,
+        configuration_rhythm(bounds_of(context)),
+        [&context, &spoken](object_store::object const& read)
+        {
+            if (read.name != spoken.kinds.current_configuration)
+                throw interface::document_error("object " + read.name +
+                                                " is not the current configuration");
+            auto document = spoken.decode_configuration(read);
+            log_unreadable_parts(context, read, document);
+            return document;
+        });
 }
 
 std::unique_ptr<kernel::duty> create_server_feed(kernel::daemon_context& context)
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -90,6 +90,14 @@
     return is_replaced ? server_failure::replaced : server_failure::request_failed;
 }
 
+// A service without a description can be served; the requests for one whose description cannot be
+// read must wait for the next configuration.
+bool is_readable_service(routing::routing_table const& table, std::string_view name)
+{
+    auto const* const service = routing::find_service(table, name);
+    return !name.empty() && (service == nullptr || service->is_readable);
+}
+
 bool is_server_error(unsigned status)
 {
     constexpr unsigned first_server_error = 500;
@@ -160,14 +168,21 @@
     request->route = routing::find_route(
         *m_table, find_header_value(request->message.headers, "Host"), request->message.target);
     if (request->route == nullptr)
-        return refuse(request, refusal::no_route, now);
+        return refuse(request,
+                      m_table->document.has_unplaced_route ? refusal::unreadable_configuration
+                                                           : refusal::no_route,
+                      now);
     auto const& route = *request->route;
+    if (!route.is_readable)
+        return refuse(request, refusal::unreadable_configuration, now);
     request->answer_deadline =
         std::min(request->caller_deadline - answer_margin, request->arrived_at + route.timeout);
     if (!route.has_affinity)
         request->affinity_key.reset();
     auto const part =
         route.split.size() == 1 ? 0 : select_next_part(m_round_robins[route.name], route.split);
+    if (!is_readable_service(*m_table, route.split[part].service))
+        return refuse(request, refusal::unreadable_configuration, now);
     request->service = route.split[part].service;
     m_deadlines.emplace(request->answer_deadline, request);
     m_deadlines.emplace(
@@ -437,7 +452,10 @@
     auto response = make_refusal(reported_cause, std::nullopt);
     constexpr unsigned not_run = 503;
     if (response.status == not_run)
-        response = make_refusal(reported_cause, retry_after(state_of(request->service)));
+        response = make_refusal(reported_cause,
+                                cause == refusal::unreadable_configuration
+                                    ? max_retry_after
+                                    : retry_after(state_of(request->service)));
     m_metrics
         .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(reported_cause)})
         .increment();
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -40,7 +40,9 @@
     /// The requests of all callers together exceed their share of memory. Not run.
     no_memory,
     /// The same request crashed several backend servers before. Not run this time.
-    quarantined
+    quarantined,
+    /// The part of the configuration that applies to the request cannot be read. Not run.
+    unreadable_configuration
 };
 
 /// @returns the name used in logs and metric labels.
--- a/utilities/config.cpp
+++ b/utilities/config.cpp
@@ -160,7 +160,10 @@
 void check_routes(std::string const& interface_name, std::string text)
 {
     object_store::object const read{{}, 0, std::move(text)};
-    static_cast<void>(interface::find_interface(interface_name).decode_configuration(read));
+    auto const document = interface::find_interface(interface_name).decode_configuration(read);
+    if (!document.unreadable.empty())
+        throw interface::document_error(document.unreadable.front().path + ": " +
+                                        document.unreadable.front().fault);
 }
 
 /// @returns what is wrong with the file, or an empty text.
