--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -36,8 +36,16 @@
 // Unanswered requests that are read from one connection; further ones stay in the socket's receive
 // buffer.
 constexpr std::size_t max_pipelined_requests = 64;
-// Time for a caller to receive an answer, and to close the connection after the last one.
+// Time without progress in which a caller receives nothing of an answer, and time to close the
+// connection after the last one.
 constexpr auto write_timeout = std::chrono::seconds(10);
+// Bytes of an answer in parts that wait for the caller before reading from the server pauses.
+constexpr std::size_t max_stream_backlog = 131072;
+// Multiple of the memory for answers above which new requests are refused. Answers that were
+// already running when the memory was used up need some more of it.
+constexpr std::size_t max_answer_overrun = 2;
+// Bytes of answers that are handed to the socket together.
+constexpr std::size_t max_written_at_once = 65536;
 constexpr auto linger_timeout = std::chrono::seconds(1);
 // Time for a request to arrive completely, from its first byte, once its header has been read;
 // until then the configured header time applies.
@@ -54,16 +62,39 @@
 
 using parser = http_library::request_parser<http_library::string_body>;
 
+/// The body of an answer that is sent in parts.
+struct answer_stream
+{
+    stream_framing framing = stream_framing::chunked;
+    std::uint64_t length = 0;
+    /// Parts that wait for the connection, as they are sent.
+    std::string pending;
+    bool is_head_sent = false;
+    bool is_complete = false;
+    /// No further part is added until the caller has taken most of these.
+    bool is_paused = false;
+};
+
 /// A request and its answer, which is empty until the request has been answered.
 struct exchange
 {
     request_pointer request;
+    /// The whole answer, or the head of one that is sent in parts.
     std::optional<answer> response;
+    std::optional<answer_stream> stream;
     bool is_head = false;
     /// Bytes of the request that count towards the memory limit.
     std::size_t held_bytes = 0;
+    /// Bytes of the answer that wait here.
+    std::unique_ptr<memory_claim> claim;
 };
 
+/// @returns whether nothing more is added to the answer.
+bool is_answered(exchange const& open)
+{
+    return open.response && (!open.stream || open.stream->is_complete);
+}
+
 milliseconds parse_deadline(std::string_view text)
 {
     std::int64_t value = 0;
@@ -82,6 +113,8 @@
     for (auto const& field : message)
         result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     result.body = std::move(message.body());
+    constexpr unsigned http_1_1 = 11;
+    result.accepts_chunks = message.version() >= http_1_1;
     return result;
 }
 
@@ -104,11 +137,13 @@
                    kernel::metrics& metrics,
                    interface::message_headers const& header_names,
                    caller_server_limits const& own_limits,
+                   answer_memory& answers,
                    caller_server_events callbacks)
         : loop(own_loop)
         , counters(metrics)
         , names(header_names)
         , resource_limits(own_limits)
+        , memory(answers)
         , events(std::move(callbacks))
         , acceptor(own_loop.context())
     {
@@ -121,11 +156,19 @@
     /// from the set.
     [[nodiscard]] std::vector<std::shared_ptr<session>> open_sessions() const;
     void count_closed(std::string_view cause) const;
+    /// @returns the connection of an unanswered request, or null. Answering may remove the entry,
+    /// so the pointer is a copy.
+    [[nodiscard]] std::shared_ptr<session> session_of(gateway_request const& request) const
+    {
+        auto const found = waiting.find(request.number);
+        return found == waiting.end() ? nullptr : found->second;
+    }
 
     kernel::event_loop& loop;
     kernel::metrics& counters;
     interface::message_headers names;
     caller_server_limits resource_limits;
+    answer_memory& memory;
     /// Bytes of requests that are being read or await their answers.
     std::size_t held_bytes = 0;
     caller_server_events events;
@@ -159,6 +202,7 @@
         : m_shared(std::move(owner))
         , m_socket(std::move(socket))
         , m_caller_address(address_of(m_socket))
+        , m_output_claim(m_shared->memory)
         , m_active_at(kernel::monotonic_now())
     {
         m_shared->sessions.insert(this);
@@ -189,17 +233,66 @@
 
     void reply(request_pointer const& request, answer&& response)
     {
-        auto const waiting = std::find_if(m_exchanges.begin(),
-                                          m_exchanges.end(),
-                                          [&request](exchange const& open)
-                                          {
-                                              return open.request == request;
-                                          });
-        if (waiting != m_exchanges.end())
-            waiting->response = std::move(response);
+        if (auto* const open = find_exchange(request))
+        {
+            open->claim->set(response.body.size());
+            open->response = std::move(response);
+        }
         write();
     }
 
+    void
+    begin_stream(request_pointer const& request, answer&& head, std::optional<std::uint64_t> length)
+    {
+        auto* const open = find_exchange(request);
+        if (open == nullptr)
+            return;
+        open->response = std::move(head);
+        auto& stream = open->stream.emplace();
+        stream.length = length.value_or(0);
+        if (length)
+            stream.framing = stream_framing::length;
+        else if (!request->message.accepts_chunks)
+            stream.framing = stream_framing::connection;
+    }
+
+    bool stream(request_pointer const& request, std::string&& part)
+    {
+        auto* const open = find_exchange(request);
+        if (open == nullptr || !open->stream)
+            return true;
+        auto& stream = *open->stream;
+        stream.pending += serialize_part(std::move(part), stream.framing);
+        open->claim->set(stream.pending.size());
+        // The exchange may be gone after writing, but only if its stream has ended.
+        bool const is_first = open == &m_exchanges.front();
+        stream.is_paused =
+            stream.pending.size() + (is_first ? m_output.size() : 0) >= max_backlog();
+        bool const may_continue = !stream.is_paused;
+        write();
+        return may_continue;
+    }
+
+    void end_stream(request_pointer const& request, bool is_complete)
+    {
+        auto* const open = find_exchange(request);
+        if (open == nullptr || !open->stream)
+            return;
+        if (is_complete)
+        {
+            open->stream->is_complete = true;
+            open->stream->pending += stream_end(open->stream->framing);
+            return write();
+        }
+        // An orderly close would look like the end of a body that ends with its connection.
+        if (open->stream->framing == stream_framing::connection)
+        {
+            error_code ignored;
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        abandon("answer_broke_off");
+    }
+
     [[nodiscard]] bool is_busy() const
     {
         return !m_exchanges.empty() || m_is_writing;
@@ -230,6 +323,23 @@
     }
 
 private:
+    [[nodiscard]] exchange* find_exchange(request_pointer const& request)
+    {
+        auto const found = std::find_if(m_exchanges.begin(),
+                                        m_exchanges.end(),
+                                        [&request](exchange const& open)
+                                        {
+                                            return open.request == request;
+                                        });
+        return found == m_exchanges.end() ? nullptr : &*found;
+    }
+
+    /// @returns the bytes of a stream that may wait for the caller before reading pauses.
+    [[nodiscard]] std::size_t max_backlog() const
+    {
+        return is_exhausted(m_shared->memory) ? 0 : max_stream_backlog;
+    }
+
     [[nodiscard]] bool has_partial_request() const
     {
         return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
@@ -254,7 +364,8 @@
         m_buffer.commit(bytes);
         m_held_bytes += bytes;
         m_shared->held_bytes += bytes;
-        if (m_shared->held_bytes > m_shared->resource_limits.held_bytes)
+        if (m_shared->held_bytes > m_shared->resource_limits.held_bytes ||
+            m_shared->memory.held > m_shared->memory.limit * max_answer_overrun)
             return refuse(refusal::no_memory);
         parse();
     }
@@ -326,7 +437,7 @@
         // If the buffer also holds the beginning of the next pipelined request, those bytes are
         // counted with this request.
         auto const held = std::exchange(m_held_bytes, 0);
-        m_exchanges.push_back({request, std::nullopt, request->message.method == "HEAD", held});
+        add_exchange(request, held).is_head = request->message.method == "HEAD";
         m_shared->waiting.emplace(request->number, shared_from_this());
         m_shared->events.request_received(request);
     }
@@ -343,23 +454,32 @@
                               {{"reason", to_string(cause)},
                                {"suppressed", m_shared->unreadable_log_limiter.take_suppressed()}});
         m_is_last = true;
-        m_exchanges.push_back(
-            {nullptr, make_refusal(cause, std::nullopt), false, std::exchange(m_held_bytes, 0)});
+        add_exchange(nullptr, std::exchange(m_held_bytes, 0)).response =
+            make_refusal(cause, std::nullopt);
         write();
     }
 
+    exchange& add_exchange(request_pointer const& request, std::size_t held)
+    {
+        auto& added = m_exchanges.emplace_back();
+        added.request = request;
+        added.held_bytes = held;
+        added.claim = std::make_unique<memory_claim>(m_shared->memory);
+        return added;
+    }
+
     void write()
     {
         if (m_is_writing)
             return;
         std::string text;
-        while (!m_exchanges.empty() && m_exchanges.front().response)
+        while (!m_exchanges.empty() && m_exchanges.front().response &&
+               text.size() < max_written_at_once)
         {
-            auto const& front = m_exchanges.front();
-            bool const is_only = m_exchanges.size() == 1;
-            if (m_shared->is_draining && is_only && !has_partial_request())
-                m_is_last = true;
-            text += serialize_answer(*front.response, front.is_head, m_is_last && is_only);
+            auto& front = m_exchanges.front();
+            append_answer(text, front);
+            if (!is_answered(front))
+                break;
             if (front.request)
                 m_shared->waiting.erase(front.request->number);
             release(front.held_bytes);
@@ -369,16 +489,51 @@
             send(std::move(text));
     }
 
+    /// Appends what is ready of the first answer.
+    void append_answer(std::string& text, exchange& front)
+    {
+        bool const is_only = m_exchanges.size() == 1;
+        bool const is_begun = front.stream && front.stream->is_head_sent;
+        if (!is_begun && m_shared->is_draining && is_only && !has_partial_request())
+            m_is_last = true;
+        bool const is_last = m_is_last && is_only;
+        if (!front.stream)
+        {
+            text += serialize_answer(*front.response, front.is_head, is_last);
+            return;
+        }
+        auto& stream = *front.stream;
+        if (!std::exchange(stream.is_head_sent, true))
+        {
+            if (stream.framing == stream_framing::connection)
+                m_is_last = true;
+            text += serialize_stream_head(*front.response, stream.framing, stream.length, is_last);
+        }
+        text += std::exchange(stream.pending, {});
+        front.claim->set(0);
+    }
+
     void send(std::string text)
     {
         m_output = std::move(text);
+        m_output_claim.set(m_output.size());
         m_is_writing = true;
         m_active_at = kernel::monotonic_now();
+        // A caller that reads slowly, but does read, is not cut off.
+        auto const note_progress = [this](error_code failure, std::size_t) -> std::size_t
+        {
+            m_active_at = kernel::monotonic_now();
+            return failure ? 0 : max_written_at_once;
+        };
         asio::async_write(m_socket,
                           asio::buffer(m_output),
+                          note_progress,
                           [self = shared_from_this()](error_code failure, std::size_t)
                           {
                               self->m_is_writing = false;
+                              self->m_output.clear();
+                              self->m_output.shrink_to_fit();
+                              self->m_output_claim.set(0);
                               self->on_written(failure);
                           });
     }
@@ -389,6 +544,7 @@
             return abandon("write_failed");
         m_active_at = kernel::monotonic_now();
         write();
+        resume_stream();
         if (m_is_writing)
             return;
         if (m_is_last && m_exchanges.empty())
@@ -398,6 +554,17 @@
         read();
     }
 
+    void resume_stream()
+    {
+        if (m_exchanges.empty() || !m_exchanges.front().stream)
+            return;
+        auto& stream = *m_exchanges.front().stream;
+        if (!stream.is_paused || m_output.size() > max_stream_backlog / 2)
+            return;
+        stream.is_paused = false;
+        m_shared->events.stream_drained(m_exchanges.front().request);
+    }
+
     // Closes the sending side only. Closing a socket with unread input would reset the connection,
     // and the caller could lose the last answer.
     void linger()
@@ -438,7 +605,7 @@
             if (!open.request)
                 continue;
             m_shared->waiting.erase(open.request->number);
-            if (!open.response)
+            if (!is_answered(open))
                 m_shared->events.caller_disconnected(open.request);
         }
     }
@@ -460,6 +627,7 @@
     std::optional<parser> m_parser;
     std::deque<exchange> m_exchanges;
     std::string m_output;
+    memory_claim m_output_claim;
     /// Bytes read since the last complete request.
     std::size_t m_held_bytes = 0;
     kernel::monotonic_time m_active_at;
@@ -545,9 +713,10 @@
                              kernel::endpoint const& own,
                              interface::message_headers const& names,
                              caller_server_limits const& limits,
+                             answer_memory& memory,
                              caller_server_events events)
-    : m_implementation(
-          std::make_shared<implementation>(loop, counters, names, limits, std::move(events)))
+    : m_implementation(std::make_shared<implementation>(
+          loop, counters, names, limits, memory, std::move(events)))
 {
     m_implementation->listen(own);
     m_implementation->accept();
@@ -574,12 +743,28 @@
 
 void caller_server::reply(request_pointer const& request, answer&& response)
 {
-    auto const found = m_implementation->waiting.find(request->number);
-    if (found == m_implementation->waiting.end())
-        return;
-    // A copy, because replying may remove the entry.
-    auto const waiting = found->second;
-    waiting->reply(request, std::move(response));
+    if (auto const waiting = m_implementation->session_of(*request))
+        waiting->reply(request, std::move(response));
+}
+
+void caller_server::begin_stream(request_pointer const& request,
+                                 answer&& head,
+                                 std::optional<std::uint64_t> length)
+{
+    if (auto const waiting = m_implementation->session_of(*request))
+        waiting->begin_stream(request, std::move(head), length);
+}
+
+bool caller_server::stream(request_pointer const& request, std::string&& part)
+{
+    auto const waiting = m_implementation->session_of(*request);
+    return !waiting || waiting->stream(request, std::move(part));
+}
+
+void caller_server::end_stream(request_pointer const& request, bool is_complete)
+{
+    if (auto const waiting = m_implementation->session_of(*request))
+        waiting->end_stream(request, is_complete);
 }
 
 void caller_server::drain()
--- a/plugins/gateway/caller_server.hpp
+++ b/plugins/gateway/caller_server.hpp
@@ -8,10 +8,12 @@
 #include "kernel/metrics.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/routing/route.hpp"
+#include "plugins/gateway/answer_memory.hpp"
 #include "plugins/gateway/request.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace pistachiohub::gateway
 {
@@ -22,6 +24,8 @@
     /// A complete request was read. The owner answers it with caller_server::reply(), at once or
     /// later.
     std::function<void(request_pointer const&)> request_received;
+    /// The caller has taken most of what stream() added to the answer; more may follow.
+    std::function<void(request_pointer const&)> stream_drained;
     /// The connection of the caller closed before the request was answered.
     std::function<void(request_pointer const&)> caller_disconnected;
 };
@@ -42,12 +46,14 @@
 {
 public:
     /// Listens on `own` and accepts connections once the loop runs.
+    /// @param memory accounts for the answers that callers have not taken yet.
     /// @throws http::listen_error when the address cannot be listened on.
     caller_server(kernel::event_loop& loop,
                   kernel::metrics& counters,
                   kernel::endpoint const& own,
                   interface::message_headers const& names,
                   caller_server_limits const& limits,
+                  answer_memory& memory,
                   caller_server_events events);
     ~caller_server();
     caller_server(caller_server const&) = delete;
@@ -60,6 +66,21 @@
     /// Answers a request; ignored if its caller has disconnected.
     void reply(request_pointer const& request, answer&& response);
 
+    /// Begins an answer whose body follows in parts; ignored if the caller has disconnected.
+    /// @param length size of the body, if it is known.
+    void begin_stream(request_pointer const& request,
+                      answer&& head,
+                      std::optional<std::uint64_t> length);
+
+    /// Adds a part to the body of an answer.
+    /// @returns whether more may be added at once; otherwise `stream_drained` follows.
+    bool stream(request_pointer const& request, std::string&& part);
+
+    /// Ends an answer that was sent in parts.
+    /// @param is_complete false closes the connection, so that the caller sees that the answer
+    /// broke off.
+    void end_stream(request_pointer const& request, bool is_complete);
+
     /// From now on closes each connection after its next answer. Idle connections stay open because
     /// a request may be in flight on them, and new connections are still accepted.
     void drain();
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -322,6 +322,12 @@
     --state_of(request->service).running;
 }
 
+void dispatcher::stream_began(gateway_request& request, kernel::monotonic_time now)
+{
+    request.stream_began_at = now;
+    m_metrics.find_counter("pistachiohub_gateway_streamed_answers_total").increment();
+}
+
 void dispatcher::attempt_ended(request_pointer const& request,
                                attempt_end&& end,
                                kernel::monotonic_time now)
@@ -338,7 +344,9 @@
         record_success(server);
         record_answer(m_crashes, *request);
         request->is_run_proven = true;
-        auto const run_seconds = seconds_value(now - request->sent_at).count();
+        // The time of a large answer depends on how fast its caller reads.
+        auto const run_seconds =
+            seconds_value(request->stream_began_at.value_or(now) - request->sent_at).count();
         state.smoothed_run_seconds += (state.smoothed_run_seconds == 0 ? 1 : smoothing_factor) *
                                       (run_seconds - state.smoothed_run_seconds);
     }
@@ -363,6 +371,8 @@
                            attempt_result result,
                            kernel::monotonic_time now)
 {
+    if (request->stream_began_at)
+        return false;
     bool const is_proven_not_run =
         result == attempt_result::not_started || result == attempt_result::never_sent;
     if (!is_proven_not_run && request->route->kind == routing::request_kind::at_most_once)
@@ -519,7 +529,10 @@
                            {"run_ms", request->sends > 0 ? ms_between(request->sent_at, now) : 0},
                            {"suppressed", m_request_log.take_suppressed()}});
     }
-    m_actions.reply(request, std::move(response));
+    if (!request->stream_began_at)
+        return m_actions.reply(request, std::move(response));
+    // The caller has the head of the backend server's answer, so a refusal has no place any more.
+    m_actions.end_stream(request, request->is_run_proven);
 }
 
 void dispatcher::end_expired(kernel::monotonic_time now)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -33,6 +33,10 @@
     std::function<void(request_pointer const&)> cancel;
     /// Sends the answer to the caller.
     std::function<void(request_pointer const&, answer&&)> reply;
+    /// Ends an answer that the caller receives in parts.
+    /// @param is_complete whether all parts were received; otherwise the caller must see that the
+    /// answer broke off.
+    std::function<void(request_pointer const&, bool is_complete)> end_stream;
     /// Records the outcome of a request that has ended, for the settlement. Called once for each
     /// request that has an id and was routed to a service.
     std::function<void(gateway_request const&, outcome)> settle;
@@ -130,6 +134,9 @@
     /// `number`, `message`, `id`, `affinity_key`, `arrived_at` and `caller_deadline`.
     void begin(request_pointer const& request, kernel::monotonic_time now);
 
+    /// Handles that the backend server has begun an answer that the caller receives in parts.
+    void stream_began(gateway_request& request, kernel::monotonic_time now);
+
     /// Handles the end of the current send: answers, retries or refuses the request. Ignored when
     /// the request is not running any more.
     void
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -50,6 +50,9 @@
 // Share of the memory for requests that are being read or await their answers. It is low because
 // each request is copied once to be sent, and answers need memory too.
 constexpr double request_share_of_memory = 0.2;
+// Share of the memory for answers that backend servers have sent and callers have not taken yet.
+// When it is used up, answers are read as fast as callers take them.
+constexpr double answer_share_of_memory = 0.25;
 // Share of the shutdown grace period in which new connections are accepted, since callers may still
 // use a cached directory answer.
 constexpr double accepting_share_of_grace = 0.6;
@@ -60,16 +63,20 @@
 constexpr auto settlement_epoch = std::chrono::minutes(1);
 constexpr auto drain_check_interval = milliseconds(50);
 
+std::size_t share_of_memory(kernel::host_resources const& resources, double share)
+{
+    constexpr double bytes_per_mb = 1e6;
+    return static_cast<std::size_t>(resources.memory_mb * bytes_per_mb * share);
+}
+
 caller_server_limits make_caller_server_limits(kernel::host_resources const& resources)
 {
     constexpr double min_connections = 16;
-    constexpr double bytes_per_mb = 1e6;
     auto const usable =
         (resources.descriptors - reserved_descriptors) * caller_share_of_descriptors;
     caller_server_limits limits;
     limits.connections = static_cast<std::size_t>(std::max(usable, min_connections));
-    limits.held_bytes =
-        static_cast<std::size_t>(resources.memory_mb * bytes_per_mb * request_share_of_memory);
+    limits.held_bytes = share_of_memory(resources, request_share_of_memory);
     return limits;
 }
 
@@ -83,21 +90,20 @@
         , m_events(context.shared<kernel::mailbox<events::gateway_event>>())
         , m_settle_requests(context.shared<kernel::mailbox<events::settle_request>>())
         , m_reloaded_settings(context.shared<kernel::snapshot<kernel::settings>>())
+        , m_answer_memory{share_of_memory(m_settings.resources, answer_share_of_memory)}
         , m_timer(m_loop.context())
         , m_dispatcher(context.own_settings(), make_actions(), context.own_metrics())
         , m_pool(m_loop,
                  context.own_metrics(),
                  m_interface.headers,
-                 [this](request_pointer const& request, attempt_end&& end)
-                 {
-                     m_dispatcher.attempt_ended(request, std::move(end), kernel::monotonic_now());
-                     arm_timer();
-                 })
+                 m_answer_memory,
+                 make_server_pool_events())
         , m_caller_server(m_loop,
                           context.own_metrics(),
                           m_settings.callers,
                           m_interface.headers,
                           make_caller_server_limits(m_settings.resources),
+                          m_answer_memory,
                           make_caller_server_events())
         , m_readiness(make_server(m_settings.readiness, &gateway_duty::answer_readiness))
         , m_directory(make_server(m_settings.directory, &gateway_duty::answer_directory))
@@ -168,6 +174,10 @@
         {
             m_caller_server.reply(request, std::move(made));
         };
+        actions.end_stream = [this](request_pointer const& request, bool is_complete)
+        {
+            m_caller_server.end_stream(request, is_complete);
+        };
         actions.settle = [this](gateway_request const& request, outcome result)
         {
             settle(request, result);
@@ -215,9 +225,35 @@
                           {{"id", std::string_view(request.id)}, {"outcome", to_string(result)}});
     }
 
+    server_pool_events make_server_pool_events()
+    {
+        server_pool_events events;
+        events.stream_begun = [this](request_pointer const& request,
+                                     answer&& head,
+                                     std::optional<std::uint64_t> length)
+        {
+            m_dispatcher.stream_began(*request, kernel::monotonic_now());
+            m_caller_server.begin_stream(request, std::move(head), length);
+        };
+        events.part_received = [this](request_pointer const& request, std::string&& part)
+        {
+            return m_caller_server.stream(request, std::move(part));
+        };
+        events.ended = [this](request_pointer const& request, attempt_end&& end)
+        {
+            m_dispatcher.attempt_ended(request, std::move(end), kernel::monotonic_now());
+            arm_timer();
+        };
+        return events;
+    }
+
     caller_server_events make_caller_server_events()
     {
         caller_server_events events;
+        events.stream_drained = [this](request_pointer const& request)
+        {
+            m_pool.resume(request);
+        };
         events.request_received = [this](request_pointer const& request)
         {
             m_dispatcher.begin(request, kernel::monotonic_now());
@@ -431,6 +467,8 @@
                           static_cast<double>(m_dispatcher.open_requests()));
         metrics.set_gauge("pistachiohub_gateway_held_bytes",
                           static_cast<double>(m_caller_server.held_bytes()));
+        metrics.set_gauge("pistachiohub_gateway_answer_bytes",
+                          static_cast<double>(m_answer_memory.held));
         return {http_ok, metrics.text(), "text/plain; version=0.0.4"};
     }
 
@@ -443,6 +481,8 @@
     kernel::settings const* m_applied_settings = nullptr;
     std::mt19937_64 m_random{std::random_device{}()};
     kernel::monotonic_time m_started_at = kernel::monotonic_now();
+    /// Outlives the loop, whose pending operations hold claims on it.
+    answer_memory m_answer_memory;
     kernel::event_loop m_loop;
     boost::asio::steady_timer m_timer;
     std::optional<kernel::monotonic_time> m_timer_expiry;
--- a/plugins/gateway/message_text.cpp
+++ b/plugins/gateway/message_text.cpp
@@ -1,5 +1,8 @@
 #include "plugins/gateway/message_text.hpp"
 
+#include <array>
+#include <charconv>
+
 namespace pistachiohub::gateway
 {
 
@@ -14,6 +17,21 @@
     text.append(name).append(": ").append(value).append(line_end);
 }
 
+// Returns the status line and the end-to-end headers, without a length.
+std::string serialize_status_and_headers(answer const& message)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason;
+    text.append(line_end);
+    auto const options = find_header_value(message.headers, "Connection");
+    for (auto const& header : message.headers)
+    {
+        if (!is_same_header_name(header.name, content_length) &&
+            !is_hop_by_hop(header.name, options))
+            append_header(text, header.name, header.value);
+    }
+    return text;
+}
+
 bool has_no_body(unsigned status)
 {
     constexpr unsigned no_content = 204;
@@ -56,15 +74,7 @@
 
 std::string serialize_answer(answer const& message, bool is_head, bool is_last)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason;
-    text.append(line_end);
-    auto const options = find_header_value(message.headers, "Connection");
-    for (auto const& header : message.headers)
-    {
-        if (!is_same_header_name(header.name, content_length) &&
-            !is_hop_by_hop(header.name, options))
-            append_header(text, header.name, header.value);
-    }
+    auto text = serialize_status_and_headers(message);
     auto const declared = find_header_value(message.headers, content_length);
     if (is_head && !declared.empty())
         append_header(text, content_length, declared);
@@ -78,4 +88,36 @@
     return text;
 }
 
+std::string serialize_stream_head(answer const& head,
+                                  stream_framing framing,
+                                  std::uint64_t length,
+                                  bool is_last)
+{
+    auto text = serialize_status_and_headers(head);
+    if (framing == stream_framing::length)
+        append_header(text, content_length, std::to_string(length));
+    if (framing == stream_framing::chunked)
+        append_header(text, "Transfer-Encoding", "chunked");
+    if (is_last || framing == stream_framing::connection)
+        append_header(text, "Connection", "close");
+    return text.append(line_end);
+}
+
+std::string serialize_part(std::string&& part, stream_framing framing)
+{
+    if (framing != stream_framing::chunked)
+        return std::move(part);
+    constexpr int hexadecimal = 16;
+    std::array<char, hexadecimal> digits{};
+    auto const [end, failure] =
+        std::to_chars(digits.data(), digits.data() + digits.size(), part.size(), hexadecimal);
+    std::string text(digits.data(), end);
+    return text.append(line_end).append(part).append(line_end);
+}
+
+std::string_view stream_end(stream_framing framing)
+{
+    return framing == stream_framing::chunked ? "0\r\n\r\n" : "";
+}
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/message_text.hpp
+++ b/plugins/gateway/message_text.hpp
@@ -7,6 +7,7 @@
 #include "plugins/gateway/message.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -28,4 +29,28 @@
 /// @param is_last whether the connection is closed after the answer.
 [[nodiscard]] std::string serialize_answer(answer const& message, bool is_head, bool is_last);
 
+/// How the body of an answer that is sent in parts ends.
+enum class stream_framing
+{
+    /// After the announced length.
+    length,
+    /// With the last chunk.
+    chunked,
+    /// With the connection.
+    connection
+};
+
+/// @returns the text of the head of an answer whose body follows in parts.
+/// @param length size of the body; used with `stream_framing::length` only.
+[[nodiscard]] std::string serialize_stream_head(answer const& head,
+                                                stream_framing framing,
+                                                std::uint64_t length,
+                                                bool is_last);
+
+/// @returns a part of the body as it is sent; the part must not be empty.
+[[nodiscard]] std::string serialize_part(std::string&& part, stream_framing framing);
+
+/// @returns what ends the body; empty unless it is chunked.
+[[nodiscard]] std::string_view stream_end(stream_framing framing);
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -37,7 +37,7 @@
     header_too_large,
     /// The request's body exceeds the configured limit.
     body_too_large,
-    /// The requests of all callers together exceed their share of memory. Not run.
+    /// The requests of all callers, or their answers, exceed their share of memory. Not run.
     no_memory,
     /// The same request crashed several backend servers before. Not run this time.
     quarantined,
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -68,6 +68,9 @@
     bool is_region_counted = false;
     /// Ids of the backend servers to which it was sent or to which connecting failed.
     std::vector<std::string> tried_servers;
+    /// When the backend server began a large answer, which the caller receives in parts. The
+    /// request cannot be sent again then.
+    std::optional<kernel::monotonic_time> stream_began_at;
     /// Whether a backend server may have run the request.
     bool may_have_run = false;
     /// Whether an answer of a backend server proves that the request ran.
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace pistachiohub::gateway
@@ -31,25 +32,88 @@
 // A connection whose peer acknowledges nothing for this time is considered broken.
 constexpr auto server_silence_limit = milliseconds(3000);
 constexpr std::uint32_t max_header_bytes = 65536;
-constexpr std::uint64_t max_body_bytes = std::uint64_t{16} << 20;
+// Bytes that are read at a time.
+constexpr std::size_t read_chunk_bytes = 16384;
+// Input that is not parsed yet. A chunk header or a trailer that does not end is refused there.
+constexpr std::size_t max_unparsed_bytes = max_header_bytes + read_chunk_bytes;
+// Answers up to this size are collected, so that a broken one can be repeated at another server.
+constexpr std::size_t max_collected_bytes = 65536;
+// Size from which an answer is delivered in parts when the memory for answers is exhausted.
+constexpr std::size_t min_streamed_bytes = read_chunk_bytes;
+// Interim answers before the final one, and bytes of answers to other requests, after which the
+// connection is closed: a server may send them without end.
+constexpr unsigned max_interim_answers = 8;
+constexpr std::uint64_t max_skipped_bytes = std::uint64_t{1} << 20;
 // Idle time after which a server is assumed to close a connection if it sends no Keep-Alive header.
 constexpr auto default_keep_alive = std::chrono::seconds(4);
 // Answers to other requests that are skipped before the connection is closed.
 constexpr unsigned max_skipped_answers = 4;
 
-using parser = http_library::response_parser<http_library::string_body>;
+/// A body whose received bytes can be taken out at any time. Unlike `string_body` it reserves no
+/// memory for a length that the server only announced.
+struct body_parts
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool is_request, class Fields>
+        reader(http_library::header<is_request, Fields>& /*header*/, value_type& body)
+            : m_body(body)
+        {
+        }
 
-answer to_answer(http_library::response<http_library::string_body>&& message)
+        void init(boost::optional<std::uint64_t> const& /*length*/, error_code& failure)
+        {
+            failure = {};
+        }
+
+        template<class Buffers>
+        std::size_t put(Buffers const& buffers, error_code& failure)
+        {
+            failure = {};
+            std::size_t count = 0;
+            for (auto const part : beast::buffers_range_ref(buffers))
+            {
+                m_body.append(static_cast<char const*>(part.data()), part.size());
+                count += part.size();
+            }
+            return count;
+        }
+
+        void finish(error_code& failure)
+        {
+            failure = {};
+        }
+
+    private:
+        value_type& m_body;
+    };
+};
+
+using parser = http_library::response_parser<body_parts>;
+
+answer to_head(parser::value_type const& message)
 {
     answer result;
     result.status = message.result_int();
     result.reason = std::string(message.reason());
     for (auto const& field : message)
         result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    result.body = std::move(message.body());
     return result;
 }
 
+/// What happens to the body of the message that is being read.
+enum class body_use
+{
+    collected,
+    /// Handed on in parts.
+    streamed,
+    /// Belongs to another request.
+    discarded
+};
+
 // Parses the seconds of a Keep-Alive header such as `timeout=5, max=100`.
 // @returns the default if the header names no timeout.
 kernel::duration parse_keep_alive(std::string_view value)
@@ -72,10 +136,12 @@
 {
     implementation(kernel::event_loop& loop,
                    kernel::endpoint const& server,
-                   interface::message_headers const& header_names)
+                   interface::message_headers const& header_names,
+                   answer_memory& answers)
         : socket(loop.context())
         , timer(loop.context())
         , names(header_names)
+        , memory(answers)
     {
         error_code failure;
         remote = tcp::endpoint(asio::ip::make_address(server.address, failure), server.port);
@@ -83,26 +149,46 @@
 
     void connect();
     void write();
+    void start_message();
     void read();
-    void on_answer();
-    void finish(attempt_result result, answer&& received, std::string_view detail);
+    void parse();
+    void on_end_of_input(error_code failure);
+    void on_head();
+    /// @returns whether parsing goes on.
+    [[nodiscard]] bool on_body();
+    [[nodiscard]] bool skip_body();
+    [[nodiscard]] bool stream_body();
+    void on_message_end();
+    void finish(attempt_result result, std::string_view detail);
     void close();
     [[nodiscard]] bool has_no_input() const;
+    [[nodiscard]] bool should_stream() const;
 
     mutable tcp::socket socket;
     asio::steady_timer timer;
     interface::message_headers names;
+    answer_memory& memory;
+    memory_claim claim{memory};
     tcp::endpoint remote;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<parser> answer_parser;
     std::string request_id;
     bool is_head = false;
     request_serializer serializer;
     std::string text;
-    exchange_handler on_end;
+    exchange_handlers handlers;
+    /// Head of the message that is being read, and the whole answer at its end.
+    answer received;
+    message_meaning meaning = message_meaning::unproven;
+    body_use use = body_use::collected;
+    unsigned interim_answers = 0;
     unsigned skipped_answers = 0;
+    std::uint64_t skipped_bytes = 0;
     bool is_connected = false;
     bool is_request_written = false;
+    bool is_head_read = false;
+    bool is_reading = false;
+    bool is_paused = false;
     bool may_reuse = false;
     kernel::monotonic_time ended_at;
     kernel::duration keep_alive = default_keep_alive;
@@ -116,24 +202,24 @@
         {
             if (failure || self->is_connected)
                 return;
-            self->finish(attempt_result::never_sent, {}, "connect_timeout");
-        });
-    socket.async_connect(
-        remote,
-        [self = shared_from_this()](error_code failure)
-        {
-            if (!self->on_end)
-                return;
-            self->timer.cancel();
-            if (failure)
-                return self->finish(attempt_result::never_sent, {}, "connect_failed");
-            self->is_connected = true;
-            error_code ignored;
-            self->socket.set_option(tcp::no_delay(true), ignored);
-            self->socket.non_blocking(true, ignored);
-            http::set_silence_limit(self->socket.native_handle(), server_silence_limit);
-            self->write();
+            self->finish(attempt_result::never_sent, "connect_timeout");
         });
+    socket.async_connect(remote,
+                         [self = shared_from_this()](error_code failure)
+                         {
+                             if (!self->handlers.ended)
+                                 return;
+                             self->timer.cancel();
+                             if (failure)
+                                 return self->finish(attempt_result::never_sent, "connect_failed");
+                             self->is_connected = true;
+                             error_code ignored;
+                             self->socket.set_option(tcp::no_delay(true), ignored);
+                             self->socket.non_blocking(true, ignored);
+                             http::set_silence_limit(self->socket.native_handle(),
+                                                     server_silence_limit);
+                             self->write();
+                         });
 }
 
 void server_connection::implementation::write()
@@ -148,79 +234,206 @@
                           // If part of the request was written, the result of the read decides:
                           // the server may have refused the request.
                           if (failure && bytes == 0)
-                              self->finish(attempt_result::never_sent, {}, "write_failed");
+                              self->finish(attempt_result::never_sent, "write_failed");
                       });
     // Reading starts immediately, because a server may answer before it has read a long body.
+    start_message();
     read();
 }
 
-void server_connection::implementation::read()
+void server_connection::implementation::start_message()
 {
     answer_parser.emplace();
     answer_parser->header_limit(max_header_bytes);
-    answer_parser->body_limit(max_body_bytes);
+    // The memory of a body is bounded here, and its time by the deadline of the request.
+    answer_parser->body_limit(boost::none);
     answer_parser->skip(is_head);
-    http_library::async_read(socket,
-                             buffer,
-                             *answer_parser,
-                             [self = shared_from_this()](error_code failure, std::size_t)
-                             {
-                                 if (!self->on_end)
-                                     return;
-                                 if (failure)
-                                     return self->finish(
-                                         attempt_result::broken,
-                                         {},
-                                         failure == http_library::error::end_of_stream ? "closed"
-                                                                                       : "broken");
-                                 self->on_answer();
-                             });
+    received = {};
+    is_head_read = false;
+    use = body_use::collected;
+}
+
+void server_connection::implementation::read()
+{
+    if (is_reading || is_paused || !socket.is_open())
+        return;
+    is_reading = true;
+    auto const space = std::min(read_chunk_bytes, buffer.max_size() - buffer.size());
+    socket.async_read_some(buffer.prepare(space),
+                           [self = shared_from_this()](error_code failure, std::size_t bytes)
+                           {
+                               self->is_reading = false;
+                               if (!self->handlers.ended)
+                                   return;
+                               if (failure)
+                                   return self->on_end_of_input(failure);
+                               self->buffer.commit(bytes);
+                               self->parse();
+                           });
 }
 
-void server_connection::implementation::on_answer()
+void server_connection::implementation::parse()
 {
-    bool const is_kept = answer_parser->keep_alive() && !answer_parser->need_eof();
-    auto received = to_answer(answer_parser->release());
-    switch (classify_message(received, names, request_id))
+    while (buffer.size() > 0 && handlers.ended && !is_paused)
+    {
+        error_code failure;
+        auto const used = answer_parser->put(buffer.data(), failure);
+        buffer.consume(used);
+        bool const needs_more = failure == http_library::error::need_more;
+        if (failure && !needs_more)
+            return finish(attempt_result::broken, "broken");
+        if (answer_parser->is_header_done() && !is_head_read)
+            on_head();
+        if (!handlers.ended || !on_body())
+            return;
+        if (answer_parser->is_done())
+        {
+            on_message_end();
+            if (!handlers.ended || !answer_parser)
+                return;
+        }
+        else if (needs_more || used == 0)
+            break;
+    }
+    if (!handlers.ended || is_paused)
+        return;
+    if (buffer.size() == buffer.max_size())
+        return finish(attempt_result::broken, "too_large");
+    read();
+}
+
+void server_connection::implementation::on_end_of_input(error_code failure)
+{
+    bool const is_closed = failure == asio::error::eof;
+    if (!is_closed || !answer_parser->got_some())
+        return finish(attempt_result::broken, is_closed ? "closed" : "broken");
+    error_code incomplete;
+    answer_parser->put_eof(incomplete);
+    if (incomplete || !answer_parser->is_done())
+        return finish(attempt_result::broken, "broken");
+    on_message_end();
+}
+
+void server_connection::implementation::on_head()
+{
+    is_head_read = true;
+    received = to_head(answer_parser->get());
+    meaning = classify_message(received, names, request_id);
+    switch (meaning)
     {
     case message_meaning::interim:
-        return read();
+        if (++interim_answers > max_interim_answers)
+            finish(attempt_result::broken, "too_many_interim");
+        return;
     case message_meaning::other_request:
-        if (++skipped_answers > max_skipped_answers || !is_kept)
-            return finish(attempt_result::broken, {}, "other_request");
-        return read();
+        use = body_use::discarded;
+        if (++skipped_answers > max_skipped_answers || !answer_parser->keep_alive())
+            finish(attempt_result::broken, "other_request");
+        return;
     case message_meaning::unproven:
-        return finish(attempt_result::broken, {}, "unproven");
+        return finish(attempt_result::broken, "unproven");
     case message_meaning::not_started:
     case message_meaning::answer:
-        break;
+        return;
+    }
+}
+
+bool server_connection::implementation::should_stream() const
+{
+    auto const size = answer_parser->get().body().size();
+    return size >= max_collected_bytes || (size >= min_streamed_bytes && is_exhausted(memory));
+}
+
+bool server_connection::implementation::on_body()
+{
+    if (!is_head_read)
+        return true;
+    auto& body = answer_parser->get().body();
+    if (use == body_use::discarded)
+        return skip_body();
+    claim.set(body.size());
+    if (use == body_use::streamed)
+        return stream_body();
+    if (answer_parser->is_done() || !should_stream())
+        return true;
+    // The head proves what the body cannot change.
+    if (meaning == message_meaning::not_started)
+    {
+        finish(attempt_result::not_started, "");
+        return false;
+    }
+    constexpr unsigned first_server_error = 500;
+    if (received.status >= first_server_error)
+    {
+        // A failure may be repeated at another server, so it is not handed on before its end.
+        finish(attempt_result::broken, "too_large");
+        return false;
     }
+    use = body_use::streamed;
+    std::optional<std::uint64_t> length;
+    if (auto const announced = answer_parser->content_length())
+        length = *announced;
+    handlers.stream_begun(answer(received), length);
+    return handlers.ended && stream_body();
+}
+
+bool server_connection::implementation::skip_body()
+{
+    auto& body = answer_parser->get().body();
+    skipped_bytes += body.size();
+    body.clear();
+    if (skipped_bytes <= max_skipped_bytes)
+        return true;
+    finish(attempt_result::broken, "other_request");
+    return false;
+}
+
+bool server_connection::implementation::stream_body()
+{
+    auto part = std::exchange(answer_parser->get().body(), {});
+    claim.set(0);
+    if (!part.empty() && !handlers.part_received(std::move(part)))
+        is_paused = !answer_parser->is_done();
+    return static_cast<bool>(handlers.ended);
+}
+
+void server_connection::implementation::on_message_end()
+{
+    bool const is_kept = answer_parser->keep_alive() && !answer_parser->need_eof();
+    if (meaning == message_meaning::interim || meaning == message_meaning::other_request)
+        return start_message();
+    received.body = std::move(answer_parser->get().body());
+    answer_parser.reset();
     // The next answer could not be identified reliably on a connection with extra bytes after this
     // answer, or whose answer arrived before the request was completely written.
     may_reuse = is_kept && is_request_written && buffer.size() == 0 && skipped_answers == 0;
     keep_alive = parse_keep_alive(find_header_value(received.headers, "Keep-Alive"));
-    bool const is_refused =
-        classify_message(received, names, request_id) == message_meaning::not_started;
-    finish(is_refused ? attempt_result::not_started : attempt_result::answered,
-           std::move(received),
+    finish(meaning == message_meaning::not_started ? attempt_result::not_started
+                                                   : attempt_result::answered,
            "");
 }
 
-void server_connection::implementation::finish(attempt_result result,
-                                               answer&& received,
-                                               std::string_view detail)
+void server_connection::implementation::finish(attempt_result result, std::string_view detail)
 {
-    if (!on_end)
+    if (!handlers.ended)
         return;
     ended_at = kernel::monotonic_now();
     attempt_end end;
     end.result = result;
     end.reported_load = parse_load(find_header_value(received.headers, names.load));
-    end.received = std::move(received);
+    bool const has_answer =
+        result == attempt_result::answered || result == attempt_result::not_started;
+    if (has_answer)
+        end.received = std::move(received);
     end.detail = detail;
+    received = {};
+    claim.set(0);
     if (!may_reuse)
         close();
-    auto const handle = std::exchange(on_end, nullptr);
+    // An idle connection keeps no memory for its input.
+    buffer = beast::flat_buffer(max_unparsed_bytes);
+    // A copy of the handler, since it may destroy this connection's owner or start a new exchange.
+    auto const handle = std::exchange(handlers, {}).ended;
     handle(std::move(end));
 }
 
@@ -241,36 +454,53 @@
 
 server_connection::server_connection(kernel::event_loop& loop,
                                      kernel::endpoint const& server,
-                                     interface::message_headers const& names)
-    : m_implementation(std::make_shared<implementation>(loop, server, names))
+                                     interface::message_headers const& names,
+                                     answer_memory& memory)
+    : m_implementation(std::make_shared<implementation>(loop, server, names, memory))
 {
 }
 
 server_connection::~server_connection()
 {
-    m_implementation->on_end = nullptr;
+    m_implementation->handlers = {};
+    m_implementation->claim.set(0);
     m_implementation->close();
 }
 
 void server_connection::start(std::string request_id,
                               bool is_head,
                               request_serializer serialize,
-                              exchange_handler handle)
+                              exchange_handlers handlers)
 {
     auto& own = *m_implementation;
     own.request_id = std::move(request_id);
     own.is_head = is_head;
     own.serializer = std::move(serialize);
-    own.on_end = std::move(handle);
+    own.handlers = std::move(handlers);
     own.is_request_written = false;
     own.may_reuse = false;
+    own.is_paused = false;
+    own.interim_answers = 0;
     own.skipped_answers = 0;
+    own.skipped_bytes = 0;
     if (own.is_connected)
         own.write();
     else
         own.connect();
 }
 
+void server_connection::resume()
+{
+    // Parsing calls the handlers, which must not happen from within this call.
+    asio::post(m_implementation->socket.get_executor(),
+               [self = m_implementation]()
+               {
+                   if (!std::exchange(self->is_paused, false) || !self->handlers.ended)
+                       return;
+                   self->parse();
+               });
+}
+
 bool server_connection::is_reusable() const
 {
     return m_implementation->may_reuse && m_implementation->has_no_input();
--- a/plugins/gateway/server_connection.hpp
+++ b/plugins/gateway/server_connection.hpp
@@ -6,17 +6,29 @@
 #include "kernel/endpoint.hpp"
 #include "kernel/event_loop.hpp"
 #include "libraries/interface/interface.hpp"
+#include "plugins/gateway/answer_memory.hpp"
 #include "plugins/gateway/request.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pistachiohub::gateway
 {
 
-/// Receives the result of an exchange. Called once, and never from within a call to the connection.
-using exchange_handler = std::function<void(attempt_end&&)>;
+/// Callbacks of one exchange; none is called from within a call to the connection.
+struct exchange_handlers
+{
+    /// A large answer has begun, whose body follows in parts. Not called for small answers, which
+    /// `ended` delivers whole.
+    /// @param length size of the body, if the backend server announced it.
+    std::function<void(answer&& head, std::optional<std::uint64_t> length)> stream_begun;
+    /// @returns whether to read on at once; otherwise resume() must follow.
+    std::function<bool(std::string&& part)> part_received;
+    /// Called once, with the result of the exchange.
+    std::function<void(attempt_end&&)> ended;
+};
 
 /// Serializes a request immediately before it is written, when its remaining time is known.
 using request_serializer = std::function<std::string()>;
@@ -32,9 +44,11 @@
 class server_connection
 {
 public:
+    /// @param memory accounts for the answers that are being read.
     server_connection(kernel::event_loop& loop,
                       kernel::endpoint const& server,
-                      interface::message_headers const& names);
+                      interface::message_headers const& names,
+                      answer_memory& memory);
     ~server_connection();
     server_connection(server_connection const&) = delete;
     server_connection& operator=(server_connection const&) = delete;
@@ -45,7 +59,10 @@
     void start(std::string request_id,
                bool is_head,
                request_serializer serialize,
-               exchange_handler handle);
+               exchange_handlers handlers);
+
+    /// Reads on after `part_received` returned false.
+    void resume();
 
     /// @returns whether another request may be sent: the last exchange ended without an error, and
     /// neither data nor a close has been received since.
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -26,11 +26,13 @@
 server_connection_pool::server_connection_pool(kernel::event_loop& loop,
                                                kernel::metrics& counters,
                                                interface::message_headers const& names,
-                                               end_handler handle)
+                                               answer_memory& memory,
+                                               server_pool_events events)
     : m_loop(loop)
     , m_counters(counters)
     , m_names(names)
-    , m_handle(std::move(handle))
+    , m_memory(memory)
+    , m_events(std::move(events))
 {
 }
 
@@ -65,8 +67,8 @@
     auto connection = take_idle(*request, kernel::monotonic_now());
     if (!connection)
     {
-        connection =
-            std::make_unique<server_connection>(m_loop, request->server->record.address, m_names);
+        connection = std::make_unique<server_connection>(
+            m_loop, request->server->record.address, m_names, m_memory);
         m_counters.find_counter("pistachiohub_gateway_server_connections_total").increment();
     }
     auto& used = *connection;
@@ -83,10 +85,32 @@
                                      request->server->record.id,
                                      std::max(remaining, milliseconds(1)));
         },
-        [this, request](attempt_end&& end)
-        {
-            finish(request, std::move(end));
-        });
+        make_handlers(request));
+}
+
+exchange_handlers server_connection_pool::make_handlers(request_pointer const& request)
+{
+    exchange_handlers handlers;
+    handlers.stream_begun = [this, request](answer&& head, std::optional<std::uint64_t> length)
+    {
+        m_events.stream_begun(request, std::move(head), length);
+    };
+    handlers.part_received = [this, request](std::string&& part)
+    {
+        return m_events.part_received(request, std::move(part));
+    };
+    handlers.ended = [this, request](attempt_end&& end)
+    {
+        finish(request, std::move(end));
+    };
+    return handlers;
+}
+
+void server_connection_pool::resume(request_pointer const& request)
+{
+    auto const found = m_running.find(request->number);
+    if (found != m_running.end())
+        found->second->resume();
 }
 
 void server_connection_pool::finish(request_pointer const& request, attempt_end&& end)
@@ -98,7 +122,7 @@
     m_running.erase(found);
     if (connection->is_reusable() && !request->server->is_removed)
         m_idle[request->server].push_back(std::move(connection));
-    m_handle(request, std::move(end));
+    m_events.ended(request, std::move(end));
 }
 
 void server_connection_pool::cancel(request_pointer const& request)
--- /dev/null
+++ b/tests/gateway/answer_stream_test.cpp
@@ -0,0 +1,360 @@
+// Answers that are too large to collect: they pass the gateway in parts, at the pace of the caller,
+// and one that breaks off must never look complete.
+
+#include "tests/gateway/gateway_fixture.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <future>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using namespace gateway_test;
+
+constexpr std::size_t large_bytes = 540'000;
+
+std::string make_body(std::size_t size)
+{
+    constexpr unsigned letters = 23;
+    std::string body(size, ' ');
+    for (std::size_t position = 0; position < size; ++position)
+        body[position] = static_cast<char>('a' + position / 1000 % letters);
+    return body;
+}
+
+std::string head_of(std::string const& id, std::string const& framing)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: sig-" + id +
+           "\r\n" + framing + "\r\n";
+}
+
+std::string as_chunks(std::string_view body, std::size_t chunk_bytes)
+{
+    std::string text;
+    while (!body.empty())
+    {
+        auto const part = body.substr(0, chunk_bytes);
+        body.remove_prefix(part.size());
+        std::array<char, 32> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+        text.append(size.data()).append(part).append("\r\n");
+    }
+    return text;
+}
+
+/// @returns the body of a chunked message, or nothing if its last chunk is missing.
+std::optional<std::string> read_chunks(std::string_view text)
+{
+    std::string body;
+    while (true)
+    {
+        auto const line_end = text.find("\r\n");
+        if (line_end == std::string_view::npos)
+            return std::nullopt;
+        auto const size = std::stoul(std::string(text.substr(0, line_end)), nullptr, 16);
+        text.remove_prefix(line_end + 2);
+        if (size == 0)
+            return body;
+        if (text.size() < size + 2)
+            return std::nullopt;
+        body.append(text.substr(0, size));
+        text.remove_prefix(size + 2);
+    }
+}
+
+std::string body_of(std::string const& message)
+{
+    return message.substr(message.find("\r\n\r\n") + 4);
+}
+
+class answer_stream_fixture : public gateway_fixture
+{
+protected:
+    /// Sends a request and accepts its connection at the backend server.
+    std::pair<raw_connection, raw_connection> begin(std::string const& request)
+    {
+        auto caller = connect();
+        caller.send(request);
+        auto server = m_server.accept();
+        REQUIRE_FALSE(server.receive_message().empty());
+        return {std::move(caller), std::move(server)};
+    }
+
+    [[nodiscard]] double metric(std::string const& name) const
+    {
+        auto const text = fetch(m_settings.gateway->metrics.port, "/metrics");
+        auto const position = text.find("\n" + name + " ");
+        return position == std::string::npos ? 0
+                                             : std::stod(text.substr(position + name.size() + 2));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_with_length_is_delivered_whole",
+                 "[gateway][concurrent]")
+{
+    auto [caller, server] = begin(get("a"));
+    auto const body = make_body(large_bytes);
+    auto const sent = std::async(std::launch::async,
+                                 [&, &backend = server]()
+                                 {
+                                     backend.send(answer_to("a", body));
+                                 });
+    auto const answer = caller.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.find("X-Response-Signature: sig-a\r\n") != std::string::npos);
+    CHECK(body_of(answer) == body);
+    CHECK(metric("pistachiohub_gateway_streamed_answers_total") == 1);
+    // Both connections carry the next request.
+    caller.send(get("b"));
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("b", "small"));
+    CHECK(caller.receive_message().ends_with("small"));
+}
+
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_of_unknown_length_is_delivered_in_chunks",
+                 "[gateway]")
+{
+    bool const is_chunked = GENERATE(true, false);
+    auto [caller, server] = begin(get("a", "Connection: close\r\n"));
+    auto const body = make_body(large_bytes);
+    auto const sent =
+        std::async(std::launch::async,
+                   [&, is_chunked, &backend = server]()
+                   {
+                       if (is_chunked)
+                           backend.send(head_of("a", "Transfer-Encoding: chunked\r\n") +
+                                        as_chunks(body, 7000) + "0\r\n\r\n");
+                       else
+                           backend.send(head_of("a", "") + body);
+                       if (!is_chunked)
+                           backend.close();
+                   });
+    auto const rest = caller.receive_rest();
+    CHECK(rest.bytes.find("Transfer-Encoding: chunked\r\n") != std::string::npos);
+    CHECK(read_chunks(body_of(rest.bytes)) == body);
+}
+
+// Failure: an answer that broke off halfway reached the caller as a complete success.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_breaks_off_is_visibly_incomplete",
+                 "[gateway][concurrent]")
+{
+    auto const framing = GENERATE(std::string("Content-Length: 540000\r\n"),
+                                  std::string("Transfer-Encoding: chunked\r\n"));
+    bool const is_chunked = framing.starts_with('T');
+    auto [caller, server] = begin(get("a"));
+    auto const body = make_body(large_bytes / 2);
+    server.send(head_of("a", framing) + (is_chunked ? as_chunks(body, 7000) : body));
+    server.close();
+    auto const rest = caller.receive_rest();
+    REQUIRE(has_status(rest.bytes, "200"));
+    if (is_chunked)
+        CHECK_FALSE(read_chunks(body_of(rest.bytes)));
+    else
+        CHECK(body_of(rest.bytes).size() < large_bytes);
+    // The gateway looks whether the server crashed. It must not send the request again, since the
+    // caller has a part of the first answer.
+    auto probe = m_server.accept();
+    CHECK(probe.receive_message().empty());
+    CHECK_FALSE(m_server.has_connection(100));
+}
+
+// A caller that knows no chunks takes the close for the end, so only a reset shows the fault.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_breaks_off_resets_a_caller_without_chunks",
+                 "[gateway]")
+{
+    auto [caller, server] = begin("GET /i/a HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: a\r\n"
+                                  "X-Deadline-Ms: 3000\r\n\r\n");
+    server.send(head_of("a", "Transfer-Encoding: chunked\r\n") +
+                as_chunks(make_body(large_bytes / 2), 7000));
+    CHECK(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    server.close();
+    CHECK(caller.receive_rest().is_reset);
+}
+
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_whose_caller_leaves_ends_the_run",
+                 "[gateway]")
+{
+    auto [caller, server] = begin(get("a"));
+    server.send(head_of("a", "Content-Length: 540000\r\n") + make_body(large_bytes / 2));
+    CHECK(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    caller.close();
+    CHECK(server.is_closed_by_peer());
+}
+
+// Pipelined answers keep their order also when a later one is large and ready first.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_behind_a_pending_answer_waits_for_its_turn",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("a") + get("b"));
+    auto one = m_server.accept();
+    auto two = m_server.accept();
+    bool const one_has_a = one.receive_message().starts_with("GET /i/a ");
+    REQUIRE_FALSE(two.receive_message().empty());
+    auto& with_a = one_has_a ? one : two;
+    auto& with_b = one_has_a ? two : one;
+    auto const body = make_body(large_bytes);
+    auto const sent = std::async(std::launch::async,
+                                 [&]()
+                                 {
+                                     with_b.send(answer_to("b", body));
+                                 });
+    CHECK(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    with_a.send(answer_to("a", "first"));
+    CHECK(caller.receive_message().ends_with("first"));
+    CHECK(body_of(caller.receive_message()) == body);
+}
+
+// Load pattern: many callers with slow links fetch large answers at once. The memory of the answers
+// is bounded by the settings, whatever their number and size, and each is complete in the end.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_streams_to_slow_callers_keep_within_the_memory",
+                 "[gateway]")
+{
+    constexpr std::size_t bytes_each = 6'000'000;
+    constexpr int callers = 4;
+    // A quarter of one megabyte, and what was read before it was used up: one part a connection and
+    // one write each.
+    constexpr double memory_limit = 250'000 + callers * (16'384 + 65'536 + 16'384);
+    std::vector<std::pair<raw_connection, raw_connection>> pairs;
+    std::vector<std::future<void>> sends;
+    auto const body = make_body(bytes_each);
+    for (int number = 0; number < callers; ++number)
+        pairs.push_back(begin(get("id" + std::to_string(number))));
+    for (int number = 0; number < callers; ++number)
+        sends.push_back(
+            std::async(std::launch::async,
+                       [&body, &backend = pairs[static_cast<std::size_t>(number)].second, number]()
+                       {
+                           backend.send(answer_to("id" + std::to_string(number), body));
+                       }));
+    double most = 0;
+    for (int sample = 0; sample < 20; ++sample)
+    {
+        most = std::max(most, metric("pistachiohub_gateway_answer_bytes"));
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(most > 0);
+    CHECK(most <= memory_limit);
+    for (auto& [caller, server] : pairs)
+        CHECK(body_of(caller.receive_message()) == body);
+    CHECK(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_answer_bytes") == 0;
+        }));
+}
+
+// A backend server in trouble may send bytes without end. The connection is closed at the limit,
+// the caller of an at-most-once request gets a 502, and nothing of it stays in memory.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_without_end_is_cut_at_a_limit",
+                 "[gateway][concurrent]")
+{
+    auto const id_and_signature = std::string("X-Attempt-Id: a\r\nX-Response-Signature: s\r\n");
+    auto const [start, repeated] = GENERATE_COPY(
+        // A head, interim answers, a chunk extension, a body that no server proves to be an answer,
+        // a failure, a refusal, and an answer to another request.
+        std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\n", "X-More: more\r\n"),
+        std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\nX-More: ", "more"),
+        std::pair<std::string, std::string>("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\n" + id_and_signature +
+                                                "Transfer-Encoding: chunked\r\n\r\n5;",
+                                            "more;"),
+        std::pair<std::string, std::string>("HTTP/1.1 200 OK\r\n\r\n", "more"),
+        std::pair<std::string, std::string>("", "more"),
+        std::pair<std::string, std::string>(
+            "HTTP/1.1 500 Internal Server Error\r\n" + id_and_signature + "\r\n", "more"),
+        std::pair<std::string, std::string>(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Signature: s\r\n"
+            "Content-Length: 1000000000\r\n\r\n",
+            "more"));
+    auto [caller, server] = begin(post("a", "b"));
+    server.send(start);
+    std::string block;
+    while (block.size() < 4096)
+        block += repeated;
+    // Well before the deadline of the request at 2 s.
+    CHECK(server.send_until_closed(block, 1500));
+    CHECK(has_status(caller.receive_message(), "502"));
+    CHECK(metric("pistachiohub_gateway_answer_bytes") == 0);
+}
+
+// Trailers after a streamed body, and a body that goes on: the caller sees an answer that broke
+// off, at the latest when the time of its request is up.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_without_end_breaks_off_by_the_deadline",
+                 "[gateway]")
+{
+    auto const [start, repeated] =
+        GENERATE(std::pair<std::string, std::string>(
+                     as_chunks(make_body(large_bytes), 7000) + "0\r\n", "X-More: more\r\n"),
+                 std::pair<std::string, std::string>("", "5\r\nmore!\r\n"));
+    auto [caller, server] = begin(get("a"));
+    auto rest = std::async(std::launch::async,
+                           [&from = caller]()
+                           {
+                               return from.receive_rest();
+                           });
+    server.send(head_of("a", "Transfer-Encoding: chunked\r\n") + start);
+    std::string block;
+    while (block.size() < 4000)
+        block += repeated;
+    CHECK(server.send_until_closed(block, 3500));
+    auto const received = rest.get();
+    CHECK(has_status(received.bytes, "200"));
+    CHECK_FALSE(received.bytes.ends_with("0\r\n\r\n"));
+    CHECK(metric("pistachiohub_gateway_answer_bytes") == 0);
+}
+
+// An answer that trickles in holds nobody else up, and ends with the deadline of its request.
+TEST_CASE_METHOD(answer_stream_fixture, "answer_that_trickles_ends_at_the_deadline", "[gateway]")
+{
+    auto [caller, server] = begin(post("a", "b"));
+    auto const trickle = std::async(std::launch::async,
+                                    [&backend = server]()
+                                    {
+                                        for (auto const byte : head_of("a", "X-Long: head\r\n"))
+                                        {
+                                            backend.send(std::string(1, byte));
+                                            std::this_thread::sleep_for(milliseconds(100));
+                                        }
+                                    });
+    auto [other, with_other] = begin(post("c", "d"));
+    with_other.send(answer_to("c", "other"));
+    CHECK(other.receive_message().ends_with("other"));
+    CHECK(has_status(caller.receive_message(), "504"));
+    caller.send(post("e", "f"));
+    auto next = m_server.accept();
+    CHECK_FALSE(next.receive_message().empty());
+}
+
+} // namespace pistachiohub
--- a/tests/gateway/dispatcher_fixture.hpp
+++ b/tests/gateway/dispatcher_fixture.hpp
@@ -33,6 +33,8 @@
     std::vector<gateway::request_pointer> m_sent;
     std::vector<gateway::request_pointer> m_cancelled;
     std::map<std::uint64_t, delivered_answer> m_replies;
+    /// Streams that ended, by the number of the request, and whether they were complete.
+    std::map<std::uint64_t, bool> m_ended_streams;
     /// Servers for which a check of the address was requested.
     std::vector<gateway::server_pointer> m_checked;
     /// Crash reports that were published last.
@@ -70,6 +72,10 @@
                 made.body,
                 std::string(gateway::find_header_value(made.headers, "Retry-After"))};
         };
+        actions.end_stream = [this](gateway::request_pointer const& request, bool is_complete)
+        {
+            m_ended_streams[request->number] = is_complete;
+        };
         actions.settle = [this](gateway::gateway_request const& request, outcome result)
         {
             m_settled.emplace(request.id, result);
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -427,4 +427,45 @@
     CHECK(m_sent.size() == 30);
 }
 
+// An answer that broke off after the caller got a part of it can neither be repeated nor replaced by
+// a refusal, and it is not known to have run to its end.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_broken_stream_is_not_sent_again", "[gateway]")
+{
+    add_server("b-1");
+    add_server("b-2");
+    auto const request = begin("/i/1");
+    REQUIRE(m_sent.size() == 1);
+    m_dispatcher->stream_began(*request, m_now);
+    end(request, gateway::attempt_result::broken);
+    CHECK(m_sent.size() == 1);
+    CHECK(status_of(request) == 0);
+    REQUIRE(m_ended_streams.count(request->number) == 1);
+    CHECK_FALSE(m_ended_streams[request->number]);
+    REQUIRE(m_settled.count(request->id) == 1);
+    CHECK(m_settled.find(request->id)->second == outcome::unresolved);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_whole_stream_is_settled_as_run", "[gateway]")
+{
+    add_server("b-1");
+    auto const request = begin("/o/1");
+    m_dispatcher->stream_began(*request, m_now);
+    end(request, gateway::attempt_result::answered);
+    CHECK(m_ended_streams[request->number]);
+    CHECK(m_settled.find(request->id)->second == outcome::ran);
+}
+
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_stream_past_its_deadline_breaks_off", "[gateway]")
+{
+    add_server("b-1");
+    auto const request = begin("/o/1");
+    m_dispatcher->stream_began(*request, m_now);
+    m_now += milliseconds(1000);
+    m_dispatcher->tick(m_now);
+    CHECK(m_cancelled.size() == 1);
+    REQUIRE(m_ended_streams.count(request->number) == 1);
+    CHECK_FALSE(m_ended_streams[request->number]);
+    CHECK(m_settled.find(request->id)->second == outcome::unresolved);
+}
+
 } // namespace pistachiohub
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 
@@ -76,6 +78,31 @@
     }
 }
 
+bool raw_connection::send_until_closed(std::string_view bytes, int limit_ms) const
+{
+    auto const ends_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
+    constexpr int poll_ms = 20;
+    while (std::chrono::steady_clock::now() < ends_at)
+    {
+        pollfd polled{m_descriptor, POLLOUT, 0};
+        if (poll(&polled, 1, poll_ms) <= 0)
+            continue;
+        auto const sent =
+            ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && errno != EAGAIN)
+            return true;
+    }
+    return false;
+}
+
+raw_connection::remaining_input raw_connection::receive_rest()
+{
+    while (receive_more())
+    {
+    }
+    return {std::exchange(m_input, {}), m_is_reset};
+}
+
 std::string raw_connection::receive_message()
 {
     constexpr std::string_view end_of_head = "\r\n\r\n";
@@ -121,6 +148,7 @@
     if (!is_readable(m_descriptor, wait_limit_ms))
         return false;
     auto const received = recv(m_descriptor, bytes.data(), bytes.size(), 0);
+    m_is_reset = received < 0;
     if (received <= 0)
         return false;
     m_input.append(bytes.data(), static_cast<std::size_t>(received));
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -26,6 +26,20 @@
     /// Sends all bytes; a closed connection is ignored.
     void send(std::string_view bytes) const;
 
+    /// Sends repetitions of `bytes` until the other side closes the connection or `limit_ms` pass.
+    /// @returns whether the other side closed it.
+    [[nodiscard]] bool send_until_closed(std::string_view bytes, int limit_ms) const;
+
+    /// How the input ended, and all of it.
+    struct remaining_input
+    {
+        std::string bytes;
+        bool is_reset = false;
+    };
+
+    /// Reads until the other side closes or resets the connection, or sends nothing for 5 s.
+    [[nodiscard]] remaining_input receive_rest();
+
     /// @returns the head and the body of the next HTTP message, or an empty string at the end.
     [[nodiscard]] std::string receive_message();
 
@@ -39,6 +53,7 @@
 
     int m_descriptor;
     std::string m_input;
+    bool m_is_reset = false;
 };
 
 /// Connects to a port.
