gateway: Cut no request at the end of a planned stop

Cause: when a drain stopped accepting, it closed every connection without a partly read request. A connection that had just been accepted lost its first request, one in the backlog was reset, and a request that crossed the close was read and dropped, so that its caller could not know that it had not run. Change: what is established is accepted before the listening socket closes; a connection closes only after 0.5 s without use, and only if the cancelled read has read nothing; a crossing request stays unread. The same holds for the idle time of a connection. A request whose run (three times the usual time) would not end before the process is refused with 503. Ruled out: keeping idle connections until the end of the grace, which doubles the time that a host is not ready.

--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -47,6 +47,9 @@
 // Bytes of answers that are handed to the socket together.
 constexpr std::size_t max_written_at_once = 65536;
 constexpr auto linger_timeout = std::chrono::seconds(1);
+// Time without use after which a drain closes a connection: longer than the first request of a new
+// connection, or one that was sent before the caller knew of the drain, is on its way.
+constexpr auto min_unused_time = milliseconds(500);
 // Time for a request to arrive completely, from its first byte, once its header has been read;
 // until then the configured header time applies.
 constexpr auto body_timeout = std::chrono::seconds(30);
@@ -151,6 +154,9 @@
 
     void listen(kernel::endpoint const& own);
     void accept();
+    /// Accepts the connections that are established but not accepted yet.
+    void accept_pending();
+    void open_session(tcp::socket&& socket);
     void sweep();
     /// @returns owning pointers to all sessions: closing a session may destroy it and remove it
     /// from the set.
@@ -298,10 +304,12 @@
         return !m_exchanges.empty() || m_is_writing;
     }
 
-    void close_if_idle()
+    /// Closes the connection if it has carried nothing for a while and no request is on its way.
+    void close_if_unused(kernel::monotonic_time now)
     {
-        if (!is_busy() && !m_is_last && !has_partial_request())
-            linger();
+        if (!is_busy() && !m_is_last && !has_partial_request() &&
+            now - m_active_at >= min_unused_time)
+            close_unused();
     }
 
     void close_if_overdue(kernel::monotonic_time now)
@@ -314,7 +322,7 @@
         if (!m_exchanges.empty())
             return;
         if (!has_partial_request())
-            return idle > m_shared->limits.idle_time ? linger() : void();
+            return idle > m_shared->limits.idle_time ? close_unused() : void();
         auto const limit = m_parser && m_parser->is_header_done()
                                ? kernel::duration(body_timeout)
                                : kernel::duration(m_shared->limits.header_time);
@@ -345,8 +353,44 @@
         return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
     }
 
+    // A request may have arrived that was not read yet. Only the end of the pending read tells.
+    void close_unused()
+    {
+        if (!m_is_reading || std::exchange(m_is_closing_unused, true))
+            return;
+        error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
+    /// @returns whether the connection is closed now.
+    [[nodiscard]] bool finish_closing_unused(error_code read_result)
+    {
+        if (!std::exchange(m_is_closing_unused, false) ||
+            read_result != asio::error::operation_aborted || !m_socket.is_open())
+            return false;
+        error_code failure;
+        if (m_socket.available(failure) > 0 || failure)
+        {
+            read();
+            return true;
+        }
+        m_is_last = true;
+        m_is_lingering = true;
+        m_active_at = kernel::monotonic_now();
+        m_socket.shutdown(tcp::socket::shutdown_send, failure);
+        // A request that crosses this close stays unread, so that its caller may send it again.
+        m_socket.async_wait(tcp::socket::wait_read,
+                            [self = shared_from_this()](error_code)
+                            {
+                                self->close("unused");
+                            });
+        return true;
+    }
+
     void on_read(error_code failure, std::size_t bytes)
     {
+        if (finish_closing_unused(failure))
+            return;
         if (m_is_lingering)
             return failure ? close("closed") : discard();
         if (failure)
@@ -638,6 +682,8 @@
     /// The connection closes after the answers that are due; no further request is read.
     bool m_is_last = false;
     bool m_is_lingering = false;
+    /// The read was cancelled to close the connection, unless it has read something.
+    bool m_is_closing_unused = false;
 };
 
 } // namespace
@@ -678,14 +724,32 @@
                                  });
                 return;
             }
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            http::set_silence_limit(socket.native_handle(), caller_silence_limit);
-            std::make_shared<session>(self, std::move(socket))->read();
+            self->open_session(std::move(socket));
             self->accept();
         });
 }
 
+void caller_server::implementation::open_session(tcp::socket&& socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    http::set_silence_limit(socket.native_handle(), caller_silence_limit);
+    std::make_shared<session>(shared_from_this(), std::move(socket))->read();
+}
+
+void caller_server::implementation::accept_pending()
+{
+    error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure && sessions.size() < resource_limits.connections)
+    {
+        tcp::socket socket(loop.context());
+        acceptor.accept(socket, failure);
+        if (!failure)
+            open_session(std::move(socket));
+    }
+}
+
 void caller_server::implementation::sweep()
 {
     auto const now = kernel::monotonic_now();
@@ -775,17 +839,20 @@
 void caller_server::stop_accepting()
 {
     error_code ignored;
+    m_implementation->accept_pending();
     m_implementation->acceptor.close(ignored);
+}
+
+void caller_server::close_unused()
+{
+    auto const now = kernel::monotonic_now();
     for (auto const& one : m_implementation->open_sessions())
-        one->close_if_idle();
+        one->close_if_unused(now);
 }
 
-std::size_t caller_server::busy_connections() const
+std::size_t caller_server::open_connections() const
 {
-    std::size_t busy = 0;
-    for (auto const* const one : m_implementation->sessions)
-        busy += one->is_busy() ? 1 : 0;
-    return busy;
+    return m_implementation->sessions.size();
 }
 
 std::size_t caller_server::held_bytes() const
--- a/plugins/gateway/caller_server.hpp
+++ b/plugins/gateway/caller_server.hpp
@@ -85,11 +85,16 @@
     /// a request may be in flight on them, and new connections are still accepted.
     void drain();
 
-    /// Closes the listening socket and all idle connections.
+    /// Accepts the connections that callers have already established, and closes the listening
+    /// socket.
     void stop_accepting();
 
-    /// @returns the number of connections with a pending request or an answer being written.
-    [[nodiscard]] std::size_t busy_connections() const;
+    /// Closes the connections that have carried nothing for a while, without reading a request that
+    /// crosses the close.
+    void close_unused();
+
+    /// @returns the number of open connections.
+    [[nodiscard]] std::size_t open_connections() const;
 
     /// @returns the number of bytes in requests that are being read or await their answers.
     [[nodiscard]] std::size_t held_bytes() const;
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -48,6 +48,8 @@
 // with the spillover of objects these sends stay within the permitted shift between regions.
 constexpr double cross_region_tokens_per_request = 0.03;
 constexpr double max_cross_region_tokens = 4;
+// Multiple of the smoothed run time within which most runs end, on cold servers too.
+constexpr int run_time_margin = 3;
 // Remaining time below which a request is not sent, because no backend server could answer in time.
 constexpr auto min_run_time = milliseconds(20);
 constexpr auto min_retry_after = milliseconds(100);
@@ -188,6 +190,8 @@
     m_deadlines.emplace(
         std::min(request->answer_deadline, request->arrived_at + route.target_latency), request);
     auto& state = state_of(request->service);
+    if (!can_end_in_service(state, now))
+        return refuse(request, refusal::leaving, now);
     if (!state.spill.is_started)
         start_spill_of(request->service, state, now);
     record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
@@ -196,6 +200,15 @@
     dispatch(request, now);
 }
 
+bool dispatcher::can_end_in_service(service_state const& state, kernel::monotonic_time now) const
+{
+    if (!m_end_of_service)
+        return true;
+    auto const expected =
+        std::chrono::duration_cast<kernel::duration>(seconds_value(state.smoothed_run_seconds));
+    return now + expected * run_time_margin < *m_end_of_service;
+}
+
 void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
 {
     // attempt_ended() offers a released slot to the waiting requests at once, so that a new request
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 
 namespace pistachiohub::gateway
 {
@@ -77,6 +78,10 @@
     /// Replaces the bounds after a change of the settings.
     void set_bounds(kernel::gateway_bounds const& bounds);
 
+    /// Sets when the process ends. Requests that would not be answered before are refused, since a
+    /// refusal can be repeated elsewhere at once and a run that is cut off cannot.
+    void set_end_of_service(kernel::monotonic_time end);
+
     /// Applies changes read from the store.
     void apply(events::store_update<routing::routing_document> const& update);
     void apply(events::store_update<fleet::backend_server> const& update,
@@ -160,6 +165,9 @@
 
 private:
     service_state& state_of(std::string const& service);
+    /// @returns whether a request that starts now is expected to end before the process does.
+    [[nodiscard]] bool can_end_in_service(service_state const& state,
+                                          kernel::monotonic_time now) const;
     void
     start_spill_of(std::string const& service, service_state& state, kernel::monotonic_time now);
     /// Counts the request at the distance of its first choice of server.
@@ -222,6 +230,8 @@
     /// Hosts among which fleet-wide budgets are split; empty while they are unknown.
     std::vector<std::string> m_sharing_hosts;
     kernel::monotonic_time m_last_adaptation;
+    /// Missing unless the process is about to end.
+    std::optional<kernel::monotonic_time> m_end_of_service;
     std::size_t m_open_requests = 0;
 };
 
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -50,6 +50,11 @@
     m_bounds = bounds;
 }
 
+void dispatcher::set_end_of_service(kernel::monotonic_time end)
+{
+    m_end_of_service = end;
+}
+
 void dispatcher::apply(events::store_update<routing::routing_document> const& update)
 {
     for (auto const& object : update.changes)
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -329,7 +329,9 @@
                          m_caller_server.stop_accepting();
                          finish_drain_when_idle();
                      });
-        m_loop.after(std::max<kernel::duration>(grace - shutdown_margin, accepting),
+        auto const serving = std::max<kernel::duration>(grace - shutdown_margin, accepting);
+        m_dispatcher.set_end_of_service(kernel::monotonic_now() + serving);
+        m_loop.after(serving,
                      [this]()
                      {
                          finish_drain("time_is_up");
@@ -338,7 +340,8 @@
 
     void finish_drain_when_idle()
     {
-        if (m_caller_server.busy_connections() == 0)
+        m_caller_server.close_unused();
+        if (m_caller_server.open_connections() == 0)
             return finish_drain("idle");
         m_loop.after(drain_check_interval,
                      [this]()
--- a/plugins/gateway/refusal.cpp
+++ b/plugins/gateway/refusal.cpp
@@ -19,7 +19,7 @@
 refusal_status const& status_of(refusal cause)
 {
     // In the order of the enumerators of `refusal`.
-    static constexpr std::array<refusal_status, 14> statuses{{
+    static constexpr std::array<refusal_status, 15> statuses{{
         {"no_configuration", 503, "Service Unavailable"},
         {"no_route", 404, "Not Found"},
         {"no_server", 503, "Service Unavailable"},
@@ -34,6 +34,7 @@
         {"no_memory", 503, "Service Unavailable"},
         {"quarantined", 503, "Service Unavailable"},
         {"unreadable_configuration", 503, "Service Unavailable"},
+        {"leaving", 503, "Service Unavailable"},
     }};
     return statuses.at(static_cast<std::size_t>(cause));
 }
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -42,7 +42,9 @@
     /// The same request crashed several backend servers before. Not run this time.
     quarantined,
     /// The part of the configuration that applies to the request cannot be read. Not run.
-    unreadable_configuration
+    unreadable_configuration,
+    /// The process is about to end, probably before the request would. Not run.
+    leaving
 };
 
 /// @returns the name used in logs and metric labels.
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -427,8 +427,8 @@
     CHECK(m_sent.size() == 30);
 }
 
-// An answer that broke off after the caller got a part of it can neither be repeated nor replaced by
-// a refusal, and it is not known to have run to its end.
+// An answer that broke off after the caller got a part of it can neither be repeated nor replaced
+// by a refusal, and it is not known to have run to its end.
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_broken_stream_is_not_sent_again", "[gateway]")
 {
     add_server("b-1");
@@ -468,4 +468,27 @@
     CHECK(m_settled.find(request->id)->second == outcome::unresolved);
 }
 
+// Load pattern: a planned stop while callers with old directory answers still send. What would be
+// cut off by the end of the process is refused at once, so that it can be repeated at another host.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_refuses_what_would_not_end_before_the_process",
+                 "[gateway]")
+{
+    add_server("b-1", "sve-a", 8);
+    auto const first = begin("/o/1");
+    m_now += milliseconds(200);
+    end(first, attempt_result::answered);
+    m_dispatcher->set_end_of_service(m_now + milliseconds(1000));
+    begin("/o/2");
+    CHECK(m_sent.size() == 2);
+    m_now += milliseconds(500);
+    auto const late = begin("/o/3");
+    CHECK(m_sent.size() == 2);
+    CHECK(status_of(late) == 503);
+    CHECK(m_settled.find(late->id)->second == outcome::not_run);
+    // Requests that were taken before end as usual.
+    end(m_sent[1], attempt_result::answered);
+    CHECK(status_of(m_sent[1]) == 200);
+}
+
 } // namespace pistachiohub
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -7,6 +7,8 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 namespace pistachiohub
 {
 
@@ -344,6 +346,49 @@
     CHECK(unused.is_closed_by_peer());
 }
 
+// Failure: during a planned stop under load, requests that had just been accepted were cut off. A
+// caller with an old directory answer connects just before the listening socket closes, and its
+// request arrives just after.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_drain_serves_connections_accepted_at_its_end",
+                 "[gateway][concurrent]")
+{
+    m_context.begin_drain();
+    // New connections are accepted for 900 ms of the 1500 ms.
+    std::this_thread::sleep_for(milliseconds(820));
+    auto fresh = connect();
+    auto silent = connect();
+    std::this_thread::sleep_for(milliseconds(130));
+    fresh.send(get("a"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "bytes"));
+    auto const answer = fresh.receive_message();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(silent.is_closed_by_peer());
+}
+
+// A request that crosses the close of an unused connection stays unread: its caller sees that
+// nothing was taken from it, and may send it again.
+TEST_CASE_METHOD(gateway_fixture, "gateway_drain_closes_unused_connections", "[gateway]")
+{
+    auto unused = connect();
+    unused.send(get("a"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "bytes"));
+    REQUIRE(has_status(unused.receive_message(), "200"));
+    m_context.begin_drain();
+    CHECK(unused.is_closed_by_peer());
+    CHECK(support::eventually(
+        [this]()
+        {
+            return m_context.is_drained();
+        }));
+    CHECK_FALSE(m_server.has_connection(0));
+}
+
 TEST_CASE_METHOD(gateway_fixture, "gateway_metrics_count_requests", "[gateway]")
 {
     auto caller = connect();
