gateway: Take no address from the store that is none of a host

A registration whose address is text that is no IP address was taken as a server; the connection went to 0.0.0.0, that is to this host itself, and the crash check or the load exchange threw in the event loop, which ends the process: one forged entry in the store would have ended the daemons of a whole fleet at once. Entry hosts with such an address were named to callers. Change: addresses are checked where they are decoded (kernel::is_host_address: no text, unspecified, multicast or broadcast address), and connecting, crash checks and the load exchange do without one instead of throwing.

--- a/kernel/endpoint.hpp
+++ b/kernel/endpoint.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace pistachiohub::kernel
 {
@@ -24,4 +25,8 @@
     return value.address + ':' + std::to_string(value.port);
 }
 
+/// @returns whether the text is the IP address of one host, to which a connection can be opened.
+/// Addresses in the store are written by others, so they are checked where they are read.
+[[nodiscard]] bool is_host_address(std::string_view text);
+
 } // namespace pistachiohub::kernel
--- a/libraries/fleet/entry_host_document.cpp
+++ b/libraries/fleet/entry_host_document.cpp
@@ -58,6 +58,8 @@
         entry_host host;
         host.name = name;
         host.callers.address = std::string(members.at("address").as_string());
+        if (!kernel::is_host_address(host.callers.address))
+            throw entry_host_error("address: expected the IP address of a host");
         host.callers.port = members.at("caller_port").to_number<std::uint16_t>();
         host.relay_port = members.at("relay_port").to_number<std::uint16_t>();
         host.failure_domain = std::string(members.at("failure_domain").as_string());
--- a/plugins/gateway/load_exchange.cpp
+++ b/plugins/gateway/load_exchange.cpp
@@ -54,7 +54,8 @@
 
 void load_exchange::set_reader(kernel::endpoint const& reader, kernel::monotonic_time now)
 {
-    m_reader = reader.port == 0 ? std::nullopt : std::optional(to_endpoint(reader));
+    bool const is_usable = reader.port != 0 && kernel::is_host_address(reader.address);
+    m_reader = is_usable ? std::optional(to_endpoint(reader)) : std::nullopt;
     // A new reader gets all loads that are not outdated.
     m_published_until = now - max_shared_load_age;
 }
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -114,6 +114,13 @@
     discarded
 };
 
+std::optional<tcp::endpoint> to_remote(kernel::endpoint const& server)
+{
+    if (!kernel::is_host_address(server.address))
+        return std::nullopt;
+    return tcp::endpoint(asio::ip::make_address(server.address), server.port);
+}
+
 // Parses the seconds of a Keep-Alive header such as `timeout=5, max=100`.
 // @returns the default if the header names no timeout.
 kernel::duration parse_keep_alive(std::string_view value)
@@ -143,8 +150,7 @@
         , names(header_names)
         , memory(answers)
     {
-        error_code failure;
-        remote = tcp::endpoint(asio::ip::make_address(server.address, failure), server.port);
+        remote = to_remote(server);
     }
 
     void connect();
@@ -169,7 +175,8 @@
     interface::message_headers names;
     answer_memory& memory;
     memory_claim claim{memory};
-    tcp::endpoint remote;
+    /// Missing if the address is none of a host.
+    std::optional<tcp::endpoint> remote;
     beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<parser> answer_parser;
     std::string request_id;
@@ -196,6 +203,15 @@
 
 void server_connection::implementation::connect()
 {
+    if (!remote)
+    {
+        asio::post(socket.get_executor(),
+                   [self = shared_from_this()]()
+                   {
+                       self->finish(attempt_result::never_sent, "no_address");
+                   });
+        return;
+    }
     timer.expires_after(connect_timeout);
     timer.async_wait(
         [self = shared_from_this()](error_code failure)
@@ -204,7 +220,7 @@
                 return;
             self->finish(attempt_result::never_sent, "connect_timeout");
         });
-    socket.async_connect(remote,
+    socket.async_connect(*remote,
                          [self = shared_from_this()](error_code failure)
                          {
                              if (!self->handlers.ended)
@@ -520,6 +536,16 @@
                     kernel::endpoint const& server,
                     std::function<void(bool is_refused)> handle)
 {
+    auto const remote = to_remote(server);
+    if (!remote)
+    {
+        asio::post(loop.context(),
+                   [handle = std::move(handle)]()
+                   {
+                       handle(false);
+                   });
+        return;
+    }
     struct check
     {
         tcp::socket socket;
@@ -544,12 +570,11 @@
             if (!failure)
                 running->socket.close(ignored);
         });
-    running->socket.async_connect(
-        tcp::endpoint(asio::ip::make_address(server.address), server.port),
-        [running](error_code failure)
-        {
-            running->finish(failure == asio::error::connection_refused);
-        });
+    running->socket.async_connect(*remote,
+                                  [running](error_code failure)
+                                  {
+                                      running->finish(failure == asio::error::connection_refused);
+                                  });
 }
 
 } // namespace pistachiohub::gateway
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -389,6 +389,27 @@
     CHECK_FALSE(m_server.has_connection(0));
 }
 
+// A server whose address is no IP address must not end the process, nor be connected to anywhere
+// else.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_server_without_usable_address_is_unreachable",
+                 "[gateway]")
+{
+    fleet::backend_server server;
+    server.id = "i-1";
+    server.service = "s";
+    server.address = {"localhost", m_server.port()};
+    server.failure_domain = "sve-a";
+    server.slots = 8;
+    server.started_at_ms = 5;
+    push(events::store_update<fleet::backend_server>{true, 2, {{"i-1", 2, server}}});
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    CHECK(has_status(caller.receive_message(), "503"));
+    CHECK_FALSE(m_server.has_connection(100));
+    CHECK(has_status(fetch(m_settings.gateway->readiness.port, "/pistachiohub/ready"), "200"));
+}
+
 TEST_CASE_METHOD(gateway_fixture, "gateway_metrics_count_requests", "[gateway]")
 {
     auto caller = connect();
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -112,4 +112,13 @@
         }));
 }
 
+// The reader's address comes from the store, where any client may write.
+TEST_CASE_METHOD(load_exchange_fixture,
+                 "load_exchange_reader_without_usable_address_is_no_reader",
+                 "[gateway]")
+{
+    auto const address = GENERATE(std::string("localhost"), std::string(""), std::string("::x"));
+    REQUIRE_NOTHROW(m_first.exchange->set_reader({address, 80}, kernel::monotonic_now()));
+}
+
 } // namespace pistachiohub
