discovery: Measure the age of relayed knowledge by the boot clock

Its ages came from the steady clock, which does not count a suspension: a reader that wakes took its knowledge for current and told followers, which were awake, that nothing had changed; a server that left meanwhile would have stayed in use there until the reader's next read. It also reported followers as running that had asked before the suspension. Change: these ages have a type of their own, kernel::boot_time, read from CLOCK_BOOTTIME, so that they cannot be mixed with the times of timers. What a daemon believes itself is read again within a second of waking and stays on the steady clock.

--- a/plugins/discovery/feed_history.cpp
+++ b/plugins/discovery/feed_history.cpp
@@ -33,7 +33,7 @@
 }
 
 history_state
-state_since(kind_history const& history, std::uint64_t revision, kernel::monotonic_time oldest)
+state_since(kind_history const& history, std::uint64_t revision, kernel::boot_time oldest)
 {
     if (!history.is_direct || history.confirmed_at < oldest)
         return history_state::is_stale;
@@ -62,7 +62,7 @@
                             bool is_direct,
                             bool is_complete,
                             object_store::list_result const& read,
-                            kernel::monotonic_time confirmed_at)
+                            kernel::boot_time confirmed_at)
 {
     std::lock_guard const lock(m_mutex);
     auto found = m_histories.find(kind);
@@ -75,9 +75,8 @@
         m_wake_up();
 }
 
-history_state feed_histories::state(std::string_view kind,
-                                    std::uint64_t revision,
-                                    kernel::monotonic_time oldest) const
+history_state
+feed_histories::state(std::string_view kind, std::uint64_t revision, kernel::boot_time oldest) const
 {
     std::lock_guard const lock(m_mutex);
     auto const found = m_histories.find(kind);
--- a/plugins/discovery/feed_history.hpp
+++ b/plugins/discovery/feed_history.hpp
@@ -33,7 +33,7 @@
     std::uint64_t revision = 0;
     std::deque<change_batch> batches;
     /// All changes until this time are known.
-    kernel::monotonic_time confirmed_at;
+    kernel::boot_time confirmed_at;
     /// Whether this daemon reads the kind from the store itself. What it read from another daemon
     /// is not passed on, so that the age does not add up.
     bool is_direct = false;
@@ -64,7 +64,7 @@
 
 /// @param oldest what was confirmed before this time is too old.
 [[nodiscard]] history_state
-state_since(kind_history const& history, std::uint64_t revision, kernel::monotonic_time oldest);
+state_since(kind_history const& history, std::uint64_t revision, kernel::boot_time oldest);
 
 /// @returns all changes since `revision`, in the order of the store.
 [[nodiscard]] object_store::list_result changes_since(kind_history const& history,
@@ -80,11 +80,11 @@
                 bool is_direct,
                 bool is_complete,
                 object_store::list_result const& read,
-                kernel::monotonic_time confirmed_at);
+                kernel::boot_time confirmed_at);
 
     /// @returns state_since() of the kind; `is_stale` if it was never read.
     [[nodiscard]] history_state
-    state(std::string_view kind, std::uint64_t revision, kernel::monotonic_time oldest) const;
+    state(std::string_view kind, std::uint64_t revision, kernel::boot_time oldest) const;
 
     /// @returns changes_since() of the kind.
     [[nodiscard]] object_store::list_result changes(std::string_view kind,
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -98,7 +98,8 @@
         }
         if (m_record.report == 0 || m_record.is_leaving != m_context.is_draining())
             return true;
-        bool const is_reported = m_last_end == status::ok && m_followers.is_known_to_relay(now);
+        bool const is_reported =
+            m_last_end == status::ok && m_followers.is_known_to_relay(kernel::boot_clock::now());
         return now - m_reported_at >= (is_reported ? follower_report_interval : report_interval);
     }
 
@@ -106,7 +107,7 @@
     {
         m_reported_at = kernel::monotonic_now();
         m_record.is_leaving = m_context.is_draining();
-        m_record.followers = m_followers.living(m_reported_at);
+        m_record.followers = m_followers.living(kernel::boot_clock::now());
         ++m_record.report;
         auto result = write_once();
         // The object of an earlier incarnation of this host, or of a write whose answer was lost.
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -89,7 +89,7 @@
 
 bool object_feed::poll_relay(fleet::relay_choice const& relay)
 {
-    auto const asked_at = kernel::monotonic_now();
+    auto const asked_at = kernel::boot_clock::now();
     auto const read = client_of(relay).watch(
         asked_kind(m_kind, {m_context.own_settings().name, m_context.incarnation()}),
         *m_revision,
@@ -98,7 +98,7 @@
     if (read.end == status::ok)
     {
         m_histories.update(m_kind, false, false, read, asked_at);
-        m_context.shared<relay_followers>().note_answer(kernel::monotonic_now());
+        m_context.shared<relay_followers>().note_answer(kernel::boot_clock::now());
         accept(false, read);
         return true;
     }
@@ -133,8 +133,8 @@
 
 void object_feed::poll_store()
 {
-    auto const asked_at = kernel::monotonic_now();
-    auto const earliest_next = asked_at + m_rhythm.spacing;
+    auto const asked_at = kernel::boot_clock::now();
+    auto const earliest_next = kernel::monotonic_now() + m_rhythm.spacing;
     bool const is_complete = !m_revision.has_value();
     auto const wait = m_must_catch_up ? no_wait : m_rhythm.watch_wait;
     auto const read =
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -101,7 +101,7 @@
         if (m_waiting.size() >= most_waiting)
             return reply({http_unavailable, "{\"reason\":\"too_many\"}"});
         auto const now = kernel::monotonic_now();
-        m_followers.note_question(query->asker, now);
+        m_followers.note_question(query->asker, kernel::boot_clock::now());
         auto const ends_at = now + std::min(query->wait, longest_wait);
         m_waiting.push_back({std::move(*query), ends_at, reply});
         if (try_answer(m_waiting.back(), now))
@@ -128,7 +128,8 @@
     {
         auto const& query = question.query;
         auto const longest_age = m_ages.find(query.kind)->second;
-        auto const state = m_histories.state(query.kind, query.revision, now - longest_age);
+        auto const state =
+            m_histories.state(query.kind, query.revision, kernel::boot_clock::now() - longest_age);
         if (state == history_state::is_current && now < question.ends_at)
             return false;
         count(query.kind, state);
--- a/plugins/discovery/relay_followers.cpp
+++ b/plugins/discovery/relay_followers.cpp
@@ -3,14 +3,13 @@
 namespace pistachiohub::discovery
 {
 
-void relay_followers::note_question(fleet::host_incarnation const& asker,
-                                    kernel::monotonic_time now)
+void relay_followers::note_question(fleet::host_incarnation const& asker, kernel::boot_time now)
 {
     std::lock_guard const lock(m_mutex);
     m_asked[asker.name] = {asker.incarnation, now};
 }
 
-std::vector<fleet::host_incarnation> relay_followers::living(kernel::monotonic_time now)
+std::vector<fleet::host_incarnation> relay_followers::living(kernel::boot_time now)
 {
     std::lock_guard const lock(m_mutex);
     std::erase_if(m_asked,
@@ -24,13 +23,13 @@
     return living;
 }
 
-void relay_followers::note_answer(kernel::monotonic_time now)
+void relay_followers::note_answer(kernel::boot_time now)
 {
     std::lock_guard const lock(m_mutex);
     m_answered_at = now;
 }
 
-bool relay_followers::is_known_to_relay(kernel::monotonic_time now) const
+bool relay_followers::is_known_to_relay(kernel::boot_time now) const
 {
     std::lock_guard const lock(m_mutex);
     return m_answered_at && now - *m_answered_at < follower_silence;
--- a/plugins/discovery/relay_followers.hpp
+++ b/plugins/discovery/relay_followers.hpp
@@ -26,21 +26,21 @@
 {
 public:
     /// Notes a question of another daemon.
-    void note_question(fleet::host_incarnation const& asker, kernel::monotonic_time now);
+    void note_question(fleet::host_incarnation const& asker, kernel::boot_time now);
 
     /// @returns the daemons that have asked lately.
-    [[nodiscard]] std::vector<fleet::host_incarnation> living(kernel::monotonic_time now);
+    [[nodiscard]] std::vector<fleet::host_incarnation> living(kernel::boot_time now);
 
     /// Notes that another daemon has answered this one, and so knows that it runs.
-    void note_answer(kernel::monotonic_time now);
+    void note_answer(kernel::boot_time now);
 
     /// @returns whether another daemon knows that this one runs.
-    [[nodiscard]] bool is_known_to_relay(kernel::monotonic_time now) const;
+    [[nodiscard]] bool is_known_to_relay(kernel::boot_time now) const;
 
 private:
     mutable std::mutex m_mutex;
-    std::map<std::string, std::pair<std::uint64_t, kernel::monotonic_time>, std::less<>> m_asked;
-    std::optional<kernel::monotonic_time> m_answered_at;
+    std::map<std::string, std::pair<std::uint64_t, kernel::boot_time>, std::less<>> m_asked;
+    std::optional<kernel::boot_time> m_answered_at;
 };
 
 /// @returns the name under which a daemon asks for changes of a kind:
--- a/tests/discovery/feed_history_test.cpp
+++ b/tests/discovery/feed_history_test.cpp
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 using state_map = std::map<std::string, std::uint64_t>;
 
-kernel::monotonic_time const start{std::chrono::hours(1)};
+kernel::boot_time const start{std::chrono::hours(1)};
 
 object_store::list_result make_changes(std::uint64_t revision,
                                        std::vector<object_store::object> objects)
--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -64,14 +64,15 @@
     void note(std::uint64_t revision,
               std::vector<object_store::object> objects,
               bool is_complete = false,
-              bool is_direct = true)
+              bool is_direct = true,
+              kernel::boot_time confirmed_at = kernel::boot_clock::now())
     {
         m_context.shared<discovery::feed_histories>().update(
             "evacuations",
             is_direct,
             is_complete,
             {object_store::status::ok, revision, std::move(objects)},
-            kernel::monotonic_now());
+            confirmed_at);
     }
 
     [[nodiscard]] static support::raw_connection ask(std::uint64_t revision, int wait_ms)
@@ -120,6 +121,18 @@
     CHECK(ask(5, 4000).receive_message().starts_with("HTTP/1.1 503 "));
 }
 
+// Failure: a suspended reader wakes and says that nothing has changed, because the steady clock did
+// not count the time. Its followers were awake and would send to servers that left meanwhile.
+TEST_CASE_METHOD(discovery_fixture,
+                 "relay_knowledge_from_before_a_suspension_is_stale",
+                 "[discovery]")
+{
+    STATIC_REQUIRE_FALSE(std::is_convertible_v<kernel::monotonic_time, kernel::boot_time>);
+    start("relay");
+    note(5, {}, true, true, kernel::boot_clock::now() - std::chrono::seconds(10));
+    CHECK(ask(5, 4000).receive_message().starts_with("HTTP/1.1 503 "));
+}
+
 // The daemon from which this one reads is gone at any moment: the store must be asked at once, from
 // the same revision, without waiting and on a new connection.
 TEST_CASE_METHOD(discovery_fixture,
