gateway: Let requests wait for the first configuration of a starting daemon

A refused caller tries once more, and the next host may be restarting too. Change: such a request waits up to 0.4 s from its arrival; when the first read of the store fails, it and later ones are refused at once, since nothing tells how long it would take. Replaced check: dispatcher_unknown_route_is_404_only_under_a_configuration demanded the 503 at once; it now demands that nothing is answered for 400 ms and then 503, never 404.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -48,6 +48,10 @@
 // with the spillover of objects these sends stay within the permitted shift between regions.
 constexpr double cross_region_tokens_per_request = 0.03;
 constexpr double max_cross_region_tokens = 4;
+// Time for which a request waits for the first configuration and servers. A restarted process has
+// read them within 0.1 to 0.3 s, and a caller that is refused may find the next host restarting
+// too.
+constexpr auto max_hold = milliseconds(400);
 // Multiple of the smoothed run time within which most runs end, on cold servers too.
 constexpr int run_time_margin = 3;
 // Remaining time below which a request is not sent, because no backend server could answer in time.
@@ -160,9 +164,44 @@
     return m_services[service];
 }
 
+bool dispatcher::is_starting() const
+{
+    bool const has_servers = m_servers.is_loaded || !m_servers.servers.empty();
+    return !m_has_start_failed && (!m_table || !has_servers);
+}
+
 void dispatcher::begin(request_pointer const& request, kernel::monotonic_time now)
 {
     ++m_open_requests;
+    if (is_starting() && m_held.size() < max_waiting)
+        return hold(request);
+    admit(request, now);
+}
+
+void dispatcher::hold(request_pointer const& request)
+{
+    request->answer_deadline = request->caller_deadline - answer_margin;
+    request->give_up_at =
+        std::min<kernel::monotonic_time>(request->answer_deadline, request->arrived_at + max_hold);
+    request->state = request_state::waiting;
+    m_deadlines.emplace(request->give_up_at, request);
+    m_held.push_back(request);
+}
+
+void dispatcher::release_held(kernel::monotonic_time now)
+{
+    for (auto const& request : std::exchange(m_held, {}))
+        admit(request, now);
+}
+
+void dispatcher::start_failed(kernel::monotonic_time now)
+{
+    m_has_start_failed = true;
+    release_held(now);
+}
+
+void dispatcher::admit(request_pointer const& request, kernel::monotonic_time now)
+{
     request->table = m_table;
     request->answer_deadline = request->caller_deadline;
     if (!m_table)
@@ -186,9 +225,10 @@
     if (!is_readable_service(*m_table, route.split[part].service))
         return refuse(request, refusal::unreadable_configuration, now);
     request->service = route.split[part].service;
+    request->give_up_at =
+        std::min(request->answer_deadline, request->arrived_at + route.target_latency);
     m_deadlines.emplace(request->answer_deadline, request);
-    m_deadlines.emplace(
-        std::min(request->answer_deadline, request->arrived_at + route.target_latency), request);
+    m_deadlines.emplace(request->give_up_at, request);
     auto& state = state_of(request->service);
     if (!can_end_in_service(state, now))
         return refuse(request, refusal::leaving, now);
@@ -441,6 +481,14 @@
     refuse(request, request->may_have_run ? refusal::broken_off : refusal::not_started, now);
 }
 
+void dispatcher::remove_waiting(request_pointer const& request)
+{
+    if (request->route == nullptr)
+        m_held.remove(request);
+    else
+        state_of(request->service).waiting.remove(request);
+}
+
 void dispatcher::caller_gone(request_pointer const& request, kernel::monotonic_time now)
 {
     if (request->state == request_state::ended)
@@ -453,7 +501,7 @@
         release_slot(request);
     }
     else
-        state_of(service).waiting.remove(request);
+        remove_waiting(request);
     request->may_have_run = request->may_have_run || was_running;
     end_request(*request);
     m_metrics.find_counter("pistachiohub_gateway_callers_gone_total").increment();
@@ -560,8 +608,11 @@
         // still meet its own.
         if (request->state == request_state::waiting)
         {
-            state_of(request->service).waiting.remove(request);
-            refuse(request, refusal::waited_too_long, now);
+            if (now < request->give_up_at)
+                continue;
+            remove_waiting(request);
+            auto const unread = m_table ? refusal::no_server : refusal::no_configuration;
+            refuse(request, request->route ? refusal::waited_too_long : unread, now);
             continue;
         }
         if (now < request->answer_deadline)
@@ -580,6 +631,8 @@
 
 kernel::monotonic_time dispatcher::next_tick(kernel::monotonic_time now) const
 {
+    if (!m_held.empty() && !is_starting())
+        return now;
     auto next = m_last_adaptation + adaptation_interval;
     if (!m_deadlines.empty())
         next = std::min(next, m_deadlines.begin()->first);
@@ -593,6 +646,8 @@
 
 void dispatcher::tick(kernel::monotonic_time now)
 {
+    if (!is_starting())
+        release_held(now);
     end_expired(now);
     log_lost_servers(remove_expired(m_servers, now), "missing_after_outage");
     for (auto& [service, state] : m_services)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -135,8 +135,14 @@
         return m_open_requests;
     }
 
-    /// Starts a new request: sends, queues or refuses it. The caller of this function has set its
-    /// `number`, `message`, `id`, `affinity_key`, `arrived_at` and `caller_deadline`.
+    /// Handles that the first read of the store failed: nothing is known of when requests can be
+    /// served, so those that wait for it and later ones are refused at once.
+    void start_failed(kernel::monotonic_time now);
+
+    /// Starts a new request: sends, queues or refuses it. A request that arrives while the first
+    /// configuration and servers are being read waits for them for a short time. The caller of this
+    /// function has set its `number`, `message`, `id`, `affinity_key`, `arrived_at` and
+    /// `caller_deadline`.
     void begin(request_pointer const& request, kernel::monotonic_time now);
 
     /// Handles that the backend server has begun an answer that the caller receives in parts.
@@ -165,6 +171,14 @@
 
 private:
     service_state& state_of(std::string const& service);
+    /// @returns whether the first configuration or the first servers are still being read.
+    [[nodiscard]] bool is_starting() const;
+    void hold(request_pointer const& request);
+    /// Starts the requests that waited for the first configuration and servers.
+    void release_held(kernel::monotonic_time now);
+    /// Finds the route of a request and sends, queues or refuses it.
+    void admit(request_pointer const& request, kernel::monotonic_time now);
+    void remove_waiting(request_pointer const& request);
     /// @returns whether a request that starts now is expected to end before the process does.
     [[nodiscard]] bool can_end_in_service(service_state const& state,
                                           kernel::monotonic_time now) const;
@@ -230,6 +244,9 @@
     /// Hosts among which fleet-wide budgets are split; empty while they are unknown.
     std::vector<std::string> m_sharing_hosts;
     kernel::monotonic_time m_last_adaptation;
+    /// Requests that wait for the first configuration and servers, in the order of arrival.
+    std::list<request_pointer> m_held;
+    bool m_has_start_failed = false;
     /// Missing unless the process is about to end.
     std::optional<kernel::monotonic_time> m_end_of_service;
     std::size_t m_open_requests = 0;
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -304,6 +304,8 @@
     void handle(events::store_contact const& contact)
     {
         auto const now = kernel::monotonic_now();
+        if (!contact.is_reachable && !m_dispatcher.is_ready())
+            m_dispatcher.start_failed(now);
         if (contact.kind == m_interface.kinds.backend_servers)
             m_dispatcher.set_server_store_reachable(contact.is_reachable, now);
         if (contact.kind == m_interface.kinds.entry_hosts)
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -46,7 +46,11 @@
     gateway::dispatcher empty(own, std::move(actions), m_metrics);
     auto request = std::make_shared<gateway::gateway_request>();
     request->caller_deadline = m_now + std::chrono::seconds(1);
+    request->arrived_at = m_now;
     empty.begin(request, m_now);
+    // It waits for the first configuration, and is never told that its route does not exist.
+    CHECK(status == 0);
+    empty.tick(m_now + milliseconds(400));
     CHECK(status == 503);
 }
 
