gateway: Let a popular object use spare slots of further servers

An object runs on two servers; when both are full its requests were refused while the other servers of the service had free slots. Change: a request that would be refused for lack of room may use the third and fourth server of its object while the region's servers are below 0.7 of their slots; above, two servers stay the limit, since copies displace other objects. Test: dispatcher_popular_object_uses_spare_slots_of_other_servers (fails with the threshold at 0; the crowded case guards the limit).

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -52,6 +52,9 @@
 // read them within 0.1 to 0.3 s, and a caller that is refused may find the next host restarting
 // too.
 constexpr auto max_hold = milliseconds(400);
+// Utilisation of the region's servers below which an object may use more of them. It is below the
+// threshold at which objects leave the region, so that copies do not drive them out.
+constexpr double spare_slots_threshold = 0.7;
 // Multiple of the smoothed run time within which most runs end, on cold servers too.
 constexpr int run_time_margin = 3;
 // Remaining time below which a request is not sent, because no backend server could answer in time.
@@ -104,6 +107,12 @@
     return !name.empty() && (service == nullptr || service->is_readable);
 }
 
+bool has_spare_slots(service_state const& state)
+{
+    auto const& in_region = state.smoothed_utilisation.own_region;
+    return in_region && *in_region < spare_slots_threshold;
+}
+
 bool is_server_error(unsigned status)
 {
     constexpr unsigned first_server_error = 500;
@@ -271,7 +280,9 @@
         server, cold_request_share(max_requests, position, m_sharing_hosts.size()), now);
 }
 
-bool dispatcher::try_send(request_pointer const& request, kernel::monotonic_time now)
+bool dispatcher::try_send(request_pointer const& request,
+                          kernel::monotonic_time now,
+                          std::size_t servers_per_object)
 {
     if (gateway::is_quarantined(m_crashes, *request, now))
     {
@@ -289,6 +300,7 @@
     input.may_leave_region = state.cross_region_tokens >= 1 &&
                              (request->sends > 0 || waited > region_wait_fraction * target);
     input.queue_per_slot = queue_per_slot(state.smoothed_run_seconds, target.count());
+    input.servers_per_object = servers_per_object;
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -345,7 +357,13 @@
                                       waited + wait_seconds > max_wait_fraction * target ||
                                       now + min_run_time >= request->answer_deadline;
     if (cannot_start_in_time)
-        return refuse(request, refusal::no_room, now);
+    {
+        if (has_spare_slots(state) &&
+            try_send(request, now, max_servers_per_object_with_spare_slots))
+            return;
+        return request->state == request_state::ended ? void()
+                                                      : refuse(request, refusal::no_room, now);
+    }
     request->state = request_state::waiting;
     state.waiting.insert(
         std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before),
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "plugins/gateway/refusal.hpp"
 #include "plugins/gateway/request.hpp"
 #include "plugins/gateway/retry_allowance.hpp"
+#include "plugins/gateway/server_choice.hpp"
 #include "plugins/gateway/server_table.hpp"
 #include "plugins/gateway/spill.hpp"
 #include "plugins/gateway/weighted_round_robin.hpp"
@@ -191,7 +192,10 @@
     /// Sends, queues or refuses the request.
     void dispatch(request_pointer const& request, kernel::monotonic_time now);
     /// @returns whether the request was sent. It may also have been refused.
-    [[nodiscard]] bool try_send(request_pointer const& request, kernel::monotonic_time now);
+    /// @param servers_per_object number of servers that may run the requests of one object.
+    [[nodiscard]] bool try_send(request_pointer const& request,
+                                kernel::monotonic_time now,
+                                std::size_t servers_per_object = max_servers_per_object);
     void send(request_pointer const& request, kernel::monotonic_time now);
     /// Queues the request, or refuses it if it could not start in time.
     void enqueue(request_pointer const& request, kernel::monotonic_time now);
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -143,7 +143,8 @@
 // number of its slots times the weight of a slot at its distance.
 std::vector<server_pointer> rank_servers_of_object(tiers const& eligible,
                                                    gateway_request const& request,
-                                                   spill_state const& spill)
+                                                   spill_state const& spill,
+                                                   std::size_t count)
 {
     std::array<double, distance_count> slots{};
     for (std::size_t index = 0; index < distance_count; ++index)
@@ -168,8 +169,7 @@
         }
     }
     std::vector<server_pointer> ranked;
-    for (auto const index :
-         rank_by_affinity(*request.affinity_key, candidates, max_servers_per_object))
+    for (auto const index : rank_by_affinity(*request.affinity_key, candidates, count))
         ranked.push_back(servers[index]);
     return ranked;
 }
@@ -179,7 +179,8 @@
                                choice_input const& input,
                                std::function<bool(known_server&)> const& admit_cold_request)
 {
-    auto const ranked = rank_servers_of_object(eligible, request, input.spill);
+    auto const ranked =
+        rank_servers_of_object(eligible, request, input.spill, input.servers_per_object);
     auto const& first = ranked.front();
     for (auto const& server : ranked)
     {
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -12,6 +12,14 @@
 namespace pistachiohub::gateway
 {
 
+/// Number of servers that may run the requests of one object. The second one is used when the first
+/// has no room. A copy on any further server would displace other objects from its cache.
+inline constexpr std::size_t max_servers_per_object = 2;
+
+/// The same while the service has slots to spare: a run where the object is not cached is slower,
+/// but better than none, and the displaced objects find room too.
+inline constexpr std::size_t max_servers_per_object_with_spare_slots = 4;
+
 /// Inputs of one choice, in addition to the servers and the request.
 struct choice_input
 {
@@ -26,6 +34,8 @@
     bool may_leave_domain = false;
     /// Requests that may wait at a server for each of its slots.
     double queue_per_slot = 0;
+    /// Number of servers, in the ranking of the object, that may run the request.
+    std::size_t servers_per_object = max_servers_per_object;
     kernel::monotonic_time now;
 };
 
@@ -39,10 +49,6 @@
     no_room
 };
 
-/// Number of servers that may run the requests of one object. The second one is used when the first
-/// has no room. A copy on any further server would displace other objects from its cache.
-inline constexpr std::size_t max_servers_per_object = 2;
-
 /// The chosen server, or why there is none.
 struct server_choice
 {
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -495,4 +495,29 @@
     CHECK(status_of(m_sent[1]) == 200);
 }
 
+// Load pattern: one popular object fills its two servers while the others of the service are idle.
+// Its further requests run there rather than being refused; in a crowded region they are refused,
+// since copies of the object would displace others.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_popular_object_uses_spare_slots_of_other_servers",
+                 "[gateway]")
+{
+    bool const is_crowded = GENERATE(false, true);
+    for (int number = 0; number < 8; ++number)
+        add_server("b-" + std::to_string(number));
+    for (int other = 0; is_crowded && other < 40; ++other)
+        begin("/i/1", "other-" + std::to_string(other));
+    auto const before = m_sent.size();
+    for (int update = 0; update < 12; ++update)
+    {
+        m_now += milliseconds(25);
+        m_dispatcher->tick(m_now);
+    }
+    for (int number = 0; number < 4; ++number)
+        begin("/o/1", "popular");
+    CHECK(m_sent.size() - before >= (is_crowded ? 0U : 4U));
+    if (is_crowded)
+        CHECK(m_sent.size() - before <= 2);
+}
+
 } // namespace pistachiohub
