--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -141,12 +141,13 @@
 
 struct server_connection::implementation : std::enable_shared_from_this<implementation>
 {
-    implementation(kernel::event_loop& loop,
+    implementation(kernel::event_loop& own_loop,
                    kernel::endpoint const& server,
                    interface::message_headers const& header_names,
                    answer_memory& answers)
-        : socket(loop.context())
-        , timer(loop.context())
+        : loop(own_loop)
+        , socket(own_loop.context())
+        , timer(own_loop.context())
         , names(header_names)
         , memory(answers)
     {
@@ -170,6 +171,7 @@
     [[nodiscard]] bool has_no_input() const;
     [[nodiscard]] bool should_stream() const;
 
+    kernel::event_loop& loop;
     mutable tcp::socket socket;
     asio::steady_timer timer;
     interface::message_headers names;
@@ -205,7 +207,7 @@
 {
     if (!remote)
     {
-        asio::post(socket.get_executor(),
+        asio::post(loop.context(),
                    [self = shared_from_this()]()
                    {
                        self->finish(attempt_result::never_sent, "no_address");
@@ -508,7 +510,7 @@
 void server_connection::resume()
 {
     // Parsing calls the handlers, which must not happen from within this call.
-    asio::post(m_implementation->socket.get_executor(),
+    asio::post(m_implementation->loop.context(),
                [self = m_implementation]()
                {
                    if (!std::exchange(self->is_paused, false) || !self->handlers.ended)
