--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -36,8 +36,8 @@
 // Unanswered requests that are read from one connection; further ones stay in the socket's receive
 // buffer.
 constexpr std::size_t max_pipelined_requests = 64;
-// Time without progress in which a caller receives nothing of an answer, and time to close the
-// connection after the last one.
+// Time for which a caller may take nothing of an answer before it is cut off, and time for it to
+// close the connection after the last answer.
 constexpr auto write_timeout = std::chrono::seconds(10);
 // Bytes of an answer in parts that wait for the caller before reading from the server pauses.
 constexpr std::size_t max_stream_backlog = 131072;
@@ -353,7 +353,7 @@
         return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
     }
 
-    // A request may have arrived that was not read yet. Only the end of the pending read tells.
+    // Cancels the pending read, whose end tells whether a request has arrived meanwhile.
     void close_unused()
     {
         if (!m_is_reading || std::exchange(m_is_closing_unused, true))
@@ -362,7 +362,8 @@
         m_socket.cancel(ignored);
     }
 
-    /// @returns whether the connection is closed now.
+    /// Handles the end of a read that close_unused() cancelled.
+    /// @returns whether nothing is left to do: the connection closes, or is read again.
     [[nodiscard]] bool finish_closing_unused(error_code read_result)
     {
         if (!std::exchange(m_is_closing_unused, false) ||
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -200,7 +200,11 @@
 void dispatcher::release_held(kernel::monotonic_time now)
 {
     for (auto const& request : std::exchange(m_held, {}))
-        admit(request, now);
+    {
+        // Answering one request may end another one of the same caller.
+        if (request->state != request_state::ended)
+            admit(request, now);
+    }
 }
 
 void dispatcher::start_failed(kernel::monotonic_time now)
@@ -353,16 +357,17 @@
     ++request->awaited_server->own_queued;
     auto const waited = seconds_value(now - request->arrived_at).count();
     auto const target = seconds_value(request->route->target_latency).count();
-    bool const cannot_start_in_time = state.waiting.size() >= max_waiting ||
-                                      waited + wait_seconds > max_wait_fraction * target ||
-                                      now + min_run_time >= request->answer_deadline;
-    if (cannot_start_in_time)
+    bool const has_time = now + min_run_time < request->answer_deadline;
+    bool const can_wait = state.waiting.size() < max_waiting &&
+                          waited + wait_seconds <= max_wait_fraction * target && has_time;
+    if (!can_wait)
     {
-        if (has_spare_slots(state) &&
-            try_send(request, now, max_servers_per_object_with_spare_slots))
-            return;
-        return request->state == request_state::ended ? void()
-                                                      : refuse(request, refusal::no_room, now);
+        bool const is_sent = has_time && has_spare_slots(state) &&
+                             try_send(request, now, max_servers_per_object_with_spare_slots);
+        // The attempt to send it may have refused it for another cause.
+        if (!is_sent && request->state != request_state::ended)
+            refuse(request, refusal::no_room, now);
+        return;
     }
     request->state = request_state::waiting;
     state.waiting.insert(
