gateway: Log each send of a suspect and what clears it

Cause: the hypotheses on the request that crashes servers cannot be told apart by the logs: they do not show which host sends a suspect again, with how many crashes it knew of, whether an answer cleared the count, or that a check found a listener. Change: events suspect_sent, suspicion_cleared and crash_not_confirmed, with the fingerprint, the crashes that count, server, service and status, within the limit of request lines; counters of crash checks by result, of sends of suspects by known crashes, and of cleared suspicions.

--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -76,17 +76,27 @@
     return quarantined;
 }
 
-void record_answer(crash_watch& state, gateway_request const& request)
+std::size_t record_answer(crash_watch& state, gateway_request const& request)
 {
     if (state.suspects.suspicions.empty())
-        return;
+        return 0;
     auto const fingerprint = crash_fingerprint(request);
-    retry::record_answered(state.suspects, fingerprint);
+    auto const cleared = retry::record_answered(state.suspects, fingerprint);
     std::erase_if(state.own_reports,
                   [fingerprint](auto const& entry)
                   {
                       return entry.first.fingerprint == fingerprint;
                   });
+    return cleared;
+}
+
+std::size_t counted_crashes(crash_watch const& state,
+                            gateway_request const& request,
+                            kernel::monotonic_time now)
+{
+    if (state.suspects.suspicions.empty())
+        return 0;
+    return retry::counted_servers(state.suspects, crash_fingerprint(request), now);
 }
 
 bool is_quarantined(crash_watch const& state,
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -87,7 +87,13 @@
 
 /// Records that a server answered the request, which clears a suspicion that has not led to a
 /// quarantine. This daemon no longer reports the request as a suspect to the other daemons.
-void record_answer(crash_watch& state, gateway_request const& request);
+/// @returns the number of crashes that counted against the request and no longer do.
+std::size_t record_answer(crash_watch& state, gateway_request const& request);
+
+/// @returns the number of servers whose crashes count against the request.
+[[nodiscard]] std::size_t counted_crashes(crash_watch const& state,
+                                          gateway_request const& request,
+                                          kernel::monotonic_time now);
 
 /// @returns whether the request is quarantined and must not be sent.
 [[nodiscard]] bool is_quarantined(crash_watch const& state,
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -342,6 +342,8 @@
     if (request->sends == 1)
         ++served_counts_at(state_of(request->service), *request->server).sent;
     ++state_of(request->service).running;
+    if (auto const crashes = counted_crashes(m_crashes, *request, now); crashes > 0)
+        log_suspect_sent(*request, crashes, now);
     auto const remaining = std::max<std::int64_t>(ms_between(now, request->answer_deadline), 1);
     m_actions.send(request, milliseconds(remaining));
 }
@@ -418,7 +420,7 @@
     if (end.result == attempt_result::answered)
     {
         record_success(server);
-        record_answer(m_crashes, *request);
+        record_answer_of_suspect(*request, end.received.status, now);
         request->is_run_proven = true;
         // The time of a large answer depends on how fast its caller reads.
         auto const run_seconds =
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -223,6 +223,12 @@
                             kernel::monotonic_time now);
     void end_expired(kernel::monotonic_time now);
     void record_broken_send(gateway_request const& request, kernel::monotonic_time now);
+    void record_answer_of_suspect(gateway_request const& request,
+                                  unsigned status,
+                                  kernel::monotonic_time now);
+    void log_suspect_sent(gateway_request const& request,
+                          std::size_t crashes,
+                          kernel::monotonic_time now);
     void log_quarantined(std::uint64_t fingerprint, std::string_view source);
     void log_added_server(std::string const& id);
     void log_lost_servers(std::vector<std::string> const& ids, std::string_view cause);
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -151,8 +151,21 @@
                                 kernel::monotonic_time now)
 {
     server->is_probe_pending = false;
+    m_metrics
+        .find_counter("pistachiohub_gateway_crash_checks_total",
+                      {"result", is_refused ? "refused" : "not_refused"})
+        .increment();
     if (!is_refused)
+    {
+        if (m_request_log.admit(now))
+            kernel::log_event(kernel::log_level::info,
+                              "gateway",
+                              "crash_not_confirmed",
+                              {{"server", std::string_view(server->record.id)},
+                               {"version", server->version},
+                               {"suppressed", m_request_log.take_suppressed()}});
         return;
+    }
     auto const fingerprints = record_crash(m_crashes, incarnation_of(*server), now);
     kernel::log_event(kernel::log_level::warning,
                       "gateway",
@@ -168,6 +181,48 @@
     m_actions.report_crashes(collect_reports(m_crashes));
 }
 
+void dispatcher::record_answer_of_suspect(gateway_request const& request,
+                                          unsigned status,
+                                          kernel::monotonic_time now)
+{
+    auto const cleared = record_answer(m_crashes, request);
+    if (cleared == 0)
+        return;
+    m_metrics.find_counter("pistachiohub_gateway_suspicions_cleared_total").increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "suspicion_cleared",
+                          {{"id", std::string_view(request.id)},
+                           {"fingerprint", crash_fingerprint(request)},
+                           {"crashes", cleared},
+                           {"server", std::string_view(request.server->record.id)},
+                           {"status", status},
+                           {"suppressed", m_request_log.take_suppressed()}});
+}
+
+void dispatcher::log_suspect_sent(gateway_request const& request,
+                                  std::size_t crashes,
+                                  kernel::monotonic_time now)
+{
+    m_metrics
+        .find_counter("pistachiohub_gateway_suspect_sends_total",
+                      {"crashes", std::to_string(crashes)})
+        .increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "suspect_sent",
+                          {{"id", std::string_view(request.id)},
+                           {"fingerprint", crash_fingerprint(request)},
+                           {"crashes", crashes},
+                           {"service", std::string_view(request.service)},
+                           {"server", std::string_view(request.server->record.id)},
+                           {"server_version", request.server->version},
+                           {"sends", request.sends},
+                           {"suppressed", m_request_log.take_suppressed()}});
+}
+
 void dispatcher::log_quarantined(std::uint64_t fingerprint, std::string_view source)
 {
     kernel::log_event(kernel::log_level::warning,
--- a/plugins/retry/quarantine.cpp
+++ b/plugins/retry/quarantine.cpp
@@ -95,11 +95,22 @@
     return entry.is_quarantined;
 }
 
-void record_answered(quarantine& state, std::uint64_t request_fingerprint)
+std::size_t record_answered(quarantine& state, std::uint64_t request_fingerprint)
 {
     auto const found = state.suspicions.find(request_fingerprint);
-    if (found != state.suspicions.end() && !found->second.is_quarantined)
-        state.suspicions.erase(found);
+    if (found == state.suspicions.end() || found->second.is_quarantined)
+        return 0;
+    auto const cleared = found->second.backend_servers.size();
+    state.suspicions.erase(found);
+    return cleared;
+}
+
+std::size_t counted_servers(quarantine const& state,
+                            std::uint64_t request_fingerprint,
+                            kernel::monotonic_time now)
+{
+    auto const* const entry = find_current(state, request_fingerprint, now);
+    return entry == nullptr ? 0 : entry->backend_servers.size();
 }
 
 bool is_quarantined(quarantine const& state,
--- a/plugins/retry/quarantine.hpp
+++ b/plugins/retry/quarantine.hpp
@@ -55,7 +55,13 @@
                                           std::size_t server_limit = servers_to_quarantine);
 
 /// Records that the request was answered: removes its suspicion unless it is quarantined.
-void record_answered(quarantine& state, std::uint64_t request_fingerprint);
+/// @returns the number of backend servers that the removed suspicion named.
+std::size_t record_answered(quarantine& state, std::uint64_t request_fingerprint);
+
+/// @returns the number of backend servers that the suspicion of the request names.
+[[nodiscard]] std::size_t counted_servers(quarantine const& state,
+                                          std::uint64_t request_fingerprint,
+                                          kernel::monotonic_time now);
 
 /// @returns true if the request must be refused.
 [[nodiscard]] bool is_quarantined(quarantine const& state,
