tests: Reproduce the request that crashes servers again and again

Callers saw nothing; the users saw such a request reach servers more often than permitted after the third crash.

--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -162,6 +162,133 @@
     CHECK(m_sent.size() == sent);
 }
 
+// Guards against an error of a server that takes the earlier crashes from the count: a server that
+// fails before it begins the run proves nothing of the request.
+TEST_CASE_METHOD(crash_fixture, "crash_suspect_that_is_answered_with_an_error_stays", "[gateway]")
+{
+    for (int number = 0; number < 3; ++number)
+    {
+        break_connection(begin("/o/crash"), true);
+        m_now += seconds(2);
+        if (number < 2)
+            end(begin("/o/crash"), attempt_result::answered, 500);
+    }
+    CHECK(status_of(begin("/o/crash")) == 503);
+}
+
+// Guards against crashes that are counted for each service apart: a route may move to another
+// service, or be split between two.
+TEST_CASE_METHOD(crash_fixture, "crash_counts_when_the_route_moves_to_another_service", "[gateway]")
+{
+    break_connection(begin("/o/crash"), true);
+    break_connection(begin("/o/crash"), true);
+    m_document.routes[1].split = {{"t", 1}};
+    publish(2);
+    fleet::backend_server server;
+    server.id = "i-t";
+    server.service = "t";
+    server.address = {"10.0.0.2", 80};
+    server.failure_domain = "sve-a";
+    server.slots = 4;
+    m_dispatcher->apply(
+        events::store_update<fleet::backend_server>{false, 4, {{server.id, 4, server}}}, m_now);
+    break_connection(begin("/o/crash"), true);
+    CHECK(status_of(begin("/o/crash")) == 503);
+}
+
+// Guards against a host that forgets, when it restarts, the crashes that it alone detected.
+TEST_CASE_METHOD(crash_fixture, "crash_reports_of_an_earlier_process_are_kept", "[gateway]")
+{
+    auto const request = begin("/o/crash");
+    auto const fingerprint = gateway::crash_fingerprint(*request);
+    fleet::entry_host own;
+    own.name = "host-1";
+    own.report = 7;
+    own.crashes = {{fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}};
+    m_dispatcher->apply(events::store_update<fleet::entry_host>{true, 9, {{own.name, 9, own}}},
+                        m_now);
+    break_connection(request, true);
+    CHECK(m_reports.size() == 3);
+    CHECK(status_of(begin("/o/crash")) == 503);
+}
+
+/// A dispatcher with one server.
+class lone_server_fixture : public gateway_test::dispatcher_fixture
+{
+protected:
+    lone_server_fixture()
+    {
+        add_server("i-1", "sve-a", 10);
+    }
+
+    void register_again()
+    {
+        auto record = m_dispatcher->servers().servers.at("i-1")->record;
+        ++record.started_at_ms;
+        m_dispatcher->apply(
+            events::store_update<fleet::backend_server>{false, 3, {{record.id, 3, record}}}, m_now);
+    }
+};
+
+// Guards against a crash that is missed because the check of the server was sent before it crashed:
+// another request's connection had broken a moment earlier.
+TEST_CASE_METHOD(lone_server_fixture, "crash_during_an_earlier_check_is_checked_again", "[gateway]")
+{
+    auto const lost = begin("/o/lost");
+    auto const crash = begin("/o/crash");
+    auto const server = crash->server;
+    end(lost, attempt_result::broken);
+    REQUIRE(m_checked.size() == 1);
+    m_now += milliseconds(20);
+    end(crash, attempt_result::broken);
+    m_dispatcher->server_checked(server, false, m_now);
+    REQUIRE(m_checked.size() == 2);
+    m_dispatcher->server_checked(server, true, m_now);
+    REQUIRE_FALSE(m_reports.empty());
+    CHECK(m_reports.back().fingerprint == gateway::crash_fingerprint(*crash));
+}
+
+// Guards against a crash that is not counted because the server is no longer listed. Some servers
+// leave by removing their entry and run on.
+TEST_CASE_METHOD(lone_server_fixture, "crash_of_a_server_that_is_not_listed_counts", "[gateway]")
+{
+    auto const crash = begin("/o/crash");
+    auto const server = crash->server;
+    remove_server("i-1");
+    end(crash, attempt_result::broken);
+    REQUIRE(m_checked.size() == 1);
+    m_dispatcher->server_checked(server, true, m_now);
+    CHECK(m_reports.size() == 1);
+}
+
+// Guards against a server that restarts under its id and gets requests under the old registration:
+// its next crash would count as the one that is already known.
+TEST_CASE_METHOD(lone_server_fixture,
+                 "crashed_server_gets_no_request_before_it_registers_again",
+                 "[gateway]")
+{
+    auto const crash = begin("/o/crash");
+    auto const server = crash->server;
+    end(crash, attempt_result::broken);
+    m_dispatcher->server_checked(server, true, m_now);
+    m_now += seconds(3);
+    CHECK(status_of(begin("/o/other")) == 503);
+    register_again();
+    CHECK(status_of(begin("/o/other")) == 0);
+}
+
+TEST_CASE_METHOD(lone_server_fixture,
+                 "crashed_server_is_used_again_when_its_registration_would_have_lapsed",
+                 "[gateway]")
+{
+    auto const crash = begin("/o/crash");
+    auto const server = crash->server;
+    end(crash, attempt_result::broken);
+    m_dispatcher->server_checked(server, true, m_now);
+    m_now += m_dispatcher->servers().registration_ttl;
+    CHECK(status_of(begin("/o/other")) == 0);
+}
+
 TEST_CASE("crash_fingerprint_tells_callers_targets_and_bodies_apart", "[gateway]")
 {
     gateway::gateway_request one;
