gateway: Take no error for proof that a request is harmless

Callers saw: nothing; servers were crashed by a request that should have been refused (BUDGET). Cause: any answer of a server removed the crashes that counted against a request, also an error. A server that fails part of its requests answers before it begins the run, so the count began at none again. Why it works: only an answer below 400 shows that a run came to its end without a crash. Requests that are merely in flight while servers crash are still cleared by the next success (crash_suspect_that_is_answered_is_innocent).

--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -85,7 +85,7 @@
                                          std::span<fleet::crash_report const> reports,
                                          kernel::monotonic_time now);
 
-/// Records that a server answered the request, which clears a suspicion that has not led to a
+/// Records that a server ran the request to its end, which clears a suspicion that has not led to a
 /// quarantine. This daemon no longer reports the request as a suspect to the other daemons.
 /// @returns the number of crashes that counted against the request and no longer do.
 std::size_t record_answer(crash_watch& state, gateway_request const& request);
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -113,6 +113,12 @@
     return in_region && *in_region < spare_slots_threshold;
 }
 
+bool is_error(unsigned status)
+{
+    constexpr unsigned first_error = 400;
+    return status >= first_error;
+}
+
 bool is_server_error(unsigned status)
 {
     constexpr unsigned first_server_error = 500;
@@ -420,7 +426,10 @@
     if (end.result == attempt_result::answered)
     {
         record_success(server);
-        record_answer_of_suspect(*request, end.received.status, now);
+        // A server may fail before it begins the run, so that an error proves nothing of the
+        // request.
+        if (!is_error(end.received.status))
+            record_answer_of_suspect(*request, end.received.status, now);
         request->is_run_proven = true;
         // The time of a large answer depends on how fast its caller reads.
         auto const run_seconds =
