gateway: Count the crashes of a request across services

Callers saw: nothing; a request whose route moved or is split crashed up to twice as many servers before it was refused (BUDGET). Cause: the service was part of the fingerprint, so each service began a count of its own.

--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -15,7 +15,9 @@
         text += '\n';
         text += part;
     }
-    return retry::fingerprint(request.service, text);
+    // The route may move to another service, or be split between several, so the service is no part
+    // of the request's identity.
+    return retry::fingerprint({}, text);
 }
 
 void add_pending_break(crash_watch& state,
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -65,7 +65,7 @@
     std::map<std::pair<std::uint64_t, std::string>, kernel::monotonic_time> received_reports;
 };
 
-/// @returns the fingerprint of a request: its service, caller, method, target and body.
+/// @returns the fingerprint of a request: its caller, method, target and body.
 [[nodiscard]] std::uint64_t crash_fingerprint(gateway_request const& request);
 
 /// Records that the connection to the server broke while it handled the request.
