gateway: Check a server again when a connection broke during its check

Cause: while a check of the server's address was on its way, a further broken connection started none. A check that had reached the server just before it crashed then said that something listens there, for the crash too. Why it works: a break during a check leads to a check that begins after it.

--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -140,9 +140,19 @@
 {
     auto const& server = request.server;
     add_pending_break(m_crashes, crash_fingerprint(request), incarnation_of(*server), now);
-    if (server->is_probe_pending || server->is_removed)
+    if (server->is_probe_pending)
+    {
+        server->has_broken_during_probe = true;
         return;
+    }
+    if (!server->is_removed)
+        check_server(server);
+}
+
+void dispatcher::check_server(server_pointer const& server)
+{
     server->is_probe_pending = true;
+    server->has_broken_during_probe = false;
     m_actions.check_server(server);
 }
 
@@ -164,6 +174,8 @@
                               {{"server", std::string_view(server->record.id)},
                                {"version", server->version},
                                {"suppressed", m_request_log.take_suppressed()}});
+        if (server->has_broken_during_probe)
+            check_server(server);
         return;
     }
     auto const fingerprints = record_crash(m_crashes, incarnation_of(*server), now);
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -71,6 +71,9 @@
     /// Whether a probe of the server's address is in progress, which shows if anything listens
     /// there.
     bool is_probe_pending = false;
+    /// Whether a connection to the server broke while the probe was in progress. The probe may have
+    /// reached the server before.
+    bool has_broken_during_probe = false;
     /// Second of the monotonic clock in which `cold_sent` requests were sent to the cold server.
     std::int64_t cold_second = 0;
     double cold_sent = 0;
