gateway: Count the crash of a server that is no longer listed

Callers saw: nothing; such a crash was missing from the count of a request that crashes servers (BUDGET). Cause: a broken connection was checked only at servers that the store still lists. A server may leave by removing its entry and run on for seconds, and the entry of one that lost the store lapses while it runs. Why it works: the check asks only whether something listens at the address. Where another server has the address by now, the check says so, and nothing is counted.

--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -145,8 +145,8 @@
         server->has_broken_during_probe = true;
         return;
     }
-    if (!server->is_removed)
-        check_server(server);
+    // A server that is not listed any more may still have run the request.
+    check_server(server);
 }
 
 void dispatcher::check_server(server_pointer const& server)
