gateway: Keep the quarantine of a request when hosts restart

Cause: the knowledge of crashes lived in the memory of the daemons that found them and in their registrations. A daemon that started again wrote its registration without it, and one that stopped removed it, so that hosts which started later began to count at none. Change: a registration also holds the quarantines that its daemon knows of, with their ends on the wall clock, in up to eight hosts; a daemon takes over the crashes of the registration that its earlier process left, before it replaces it and when it reads it. Documents without the new field are read as before. Ruled out: an object of its own for quarantines, read at each start and watched by all, since the registrations are read anyway; ages in place of ends, since each restart would lengthen a quarantine by the age of the document. Open: when all daemons are stopped as planned at once, their registrations go, and the quarantines with them. Measured: the test cases of [gateway] and [retry] pass.

--- a/libraries/fleet/backend_server.hpp
+++ b/libraries/fleet/backend_server.hpp
@@ -48,6 +48,27 @@
     friend bool operator==(crash_report const&, crash_report const&) = default;
 };
 
+/// A request that all daemons refuse.
+struct quarantined_request
+{
+    std::uint64_t fingerprint = 0;
+    /// Wall clock at which the quarantine ends, in milliseconds since the Unix epoch.
+    std::uint64_t ends_at_ms = 0;
+
+    friend bool operator==(quarantined_request const&, quarantined_request const&) = default;
+};
+
+/// What a daemon tells the others of requests that crash backend servers.
+struct crash_knowledge
+{
+    /// Crashes that it found lately.
+    std::vector<crash_report> reports;
+    /// Quarantines that it knows of, whoever found the crashes.
+    std::vector<quarantined_request> quarantines;
+
+    friend bool operator==(crash_knowledge const&, crash_knowledge const&) = default;
+};
+
 /// An entry host as its daemon registered itself.
 struct entry_host
 {
@@ -67,8 +88,7 @@
     /// Daemons that read the store through this one and were running at its report. They report
     /// rarely themselves.
     std::vector<host_incarnation> followers;
-    /// Crashes that it found lately.
-    std::vector<crash_report> crashes;
+    crash_knowledge crashes;
 };
 
 } // namespace pistachiohub::fleet
--- a/libraries/fleet/entry_host_document.cpp
+++ b/libraries/fleet/entry_host_document.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <exception>
 #include <utility>
@@ -14,6 +15,16 @@
 
 namespace json = boost::json;
 
+template<class Entry>
+void append_missing(std::vector<Entry>& own, std::vector<Entry> const& earlier)
+{
+    for (auto const& entry : earlier)
+    {
+        if (std::find(own.begin(), own.end(), entry) == own.end())
+            own.push_back(entry);
+    }
+}
+
 // Written as text, because other programs read the numbers of JSON as doubles.
 std::uint64_t parse_fingerprint(std::string_view text)
 {
@@ -33,9 +44,13 @@
     for (auto const& follower : host.followers)
         followers[follower.name] = follower.incarnation;
     json::array crashes;
-    for (auto const& crash : host.crashes)
+    for (auto const& crash : host.crashes.reports)
         crashes.push_back({{"fingerprint", std::to_string(crash.fingerprint)},
                            {"backend_server", crash.backend_server}});
+    json::array quarantines;
+    for (auto const& known : host.crashes.quarantines)
+        quarantines.push_back(
+            {{"fingerprint", std::to_string(known.fingerprint)}, {"ends_at_ms", known.ends_at_ms}});
     return json::serialize(json::object{{"address", host.callers.address},
                                         {"caller_port", host.callers.port},
                                         {"relay_port", host.relay_port},
@@ -46,7 +61,8 @@
                                         {"is_leaving", host.is_leaving},
                                         {"capacity", host.capacity},
                                         {"followers", std::move(followers)},
-                                        {"crashes", std::move(crashes)}});
+                                        {"crashes", std::move(crashes)},
+                                        {"quarantines", std::move(quarantines)}});
 }
 
 entry_host parse_entry_host(std::string_view name, std::string_view text)
@@ -72,8 +88,14 @@
             host.followers.push_back(
                 {std::string(follower.key()), follower.value().to_number<std::uint64_t>()});
         for (auto const& crash : members.at("crashes").as_array())
-            host.crashes.push_back({parse_fingerprint(crash.at("fingerprint").as_string()),
-                                    std::string(crash.at("backend_server").as_string())});
+            host.crashes.reports.push_back({parse_fingerprint(crash.at("fingerprint").as_string()),
+                                            std::string(crash.at("backend_server").as_string())});
+        // Daemons of earlier versions write no quarantines.
+        if (auto const* const quarantines = members.if_contains("quarantines"))
+            for (auto const& known : quarantines->as_array())
+                host.crashes.quarantines.push_back(
+                    {parse_fingerprint(known.at("fingerprint").as_string()),
+                     known.at("ends_at_ms").to_number<std::uint64_t>()});
         return host;
     }
     // Boost.JSON reports a document of another form by exceptions of the standard library.
@@ -83,4 +105,10 @@
     }
 }
 
+void inherit_crashes(crash_knowledge& own, crash_knowledge const& earlier)
+{
+    append_missing(own.reports, earlier.reports);
+    append_missing(own.quarantines, earlier.quarantines);
+}
+
 } // namespace pistachiohub::fleet
--- a/libraries/fleet/entry_host_document.hpp
+++ b/libraries/fleet/entry_host_document.hpp
@@ -26,4 +26,7 @@
 /// @throws entry_host_error for a field that is missing or of another type.
 [[nodiscard]] entry_host parse_entry_host(std::string_view name, std::string_view text);
 
+/// Adds what an earlier process of the same host published to what the present one publishes.
+void inherit_crashes(crash_knowledge& own, crash_knowledge const& earlier);
+
 } // namespace pistachiohub::fleet
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -61,7 +61,7 @@
         , m_client(context.own_settings().store, make_limits(), m_interface.store)
         , m_record(make_record(context.own_settings(), context.incarnation()))
         , m_followers(context.shared<relay_followers>())
-        , m_crashes(context.shared<kernel::snapshot<std::vector<fleet::crash_report>>>())
+        , m_crashes(context.shared<kernel::snapshot<fleet::crash_knowledge>>())
     {
         context.on_drain(
             [this]()
@@ -113,6 +113,8 @@
         // The object of an earlier incarnation of this host, or of a write whose answer was lost.
         if (result.end == status::conflict)
         {
+            if (m_version == 0)
+                inherit_crashes();
             m_version = result.version;
             result = write_once();
         }
@@ -129,6 +131,27 @@
             m_interface.kinds.entry_hosts, m_record.name, m_version, to_document(m_record));
     }
 
+    // The object that this write replaces may be the only place that holds what an earlier process
+    // of this host has found.
+    void inherit_crashes()
+    {
+        auto const earlier = m_client.read(m_interface.kinds.entry_hosts, m_record.name);
+        if (earlier.end != status::ok)
+            return;
+        try
+        {
+            auto const host = fleet::parse_entry_host(m_record.name, earlier.found.value);
+            fleet::inherit_crashes(m_record.crashes, host.crashes);
+        }
+        catch (fleet::entry_host_error const& failure)
+        {
+            kernel::log_event(kernel::log_level::warning,
+                              "discovery",
+                              "earlier_registration_unreadable",
+                              {{"error", std::string_view(failure.what())}});
+        }
+    }
+
     // A host that ends leaves no object behind. After a failure the others notice its silence.
     void remove()
     {
@@ -164,7 +187,7 @@
     object_store::client m_client;
     fleet::entry_host m_record;
     relay_followers& m_followers;
-    kernel::snapshot_reader<std::vector<fleet::crash_report>> m_crashes;
+    kernel::snapshot_reader<fleet::crash_knowledge> m_crashes;
     kernel::monotonic_time m_reported_at;
     store::wake_signal m_signal;
     std::uint64_t m_version = 0;
--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include "plugins/gateway/crash_watch.hpp"
 
+#include "plugins/gateway/cold_allowance.hpp"
+
 #include <algorithm>
 
 namespace pistachiohub::gateway
@@ -20,6 +22,27 @@
     return retry::fingerprint({}, text);
 }
 
+namespace
+{
+
+void add_own_report(crash_watch& state, fleet::crash_report report, kernel::monotonic_time now)
+{
+    state.own_reports.push_back({std::move(report), now + retry::quarantine_time});
+    if (state.own_reports.size() > max_crash_reports)
+        state.own_reports.pop_front();
+}
+
+// Returns whether this host is one of those that publish the quarantine.
+bool keeps_copy(std::uint64_t fingerprint,
+                std::string const& own,
+                std::span<std::string const> hosts)
+{
+    return hosts.size() <= quarantine_copies ||
+           daemon_rank_for_server(std::to_string(fingerprint), own, hosts) < quarantine_copies;
+}
+
+} // namespace
+
 void add_pending_break(crash_watch& state,
                        std::uint64_t fingerprint,
                        std::string_view server,
@@ -47,10 +70,7 @@
     {
         static_cast<void>(retry::record_connection_loss(
             state.suspects, fingerprint, server, now, crashes_to_quarantine));
-        state.own_reports.push_back(
-            {{fingerprint, std::string(server)}, now + retry::quarantine_time});
-        if (state.own_reports.size() > max_crash_reports)
-            state.own_reports.pop_front();
+        add_own_report(state, {fingerprint, std::string(server)}, now);
     }
     return fingerprints;
 }
@@ -78,6 +98,58 @@
     return quarantined;
 }
 
+void begin_quarantines(crash_watch& state,
+                       std::span<std::uint64_t const> fingerprints,
+                       std::uint64_t wall_clock_ms)
+{
+    constexpr auto length =
+        std::chrono::duration_cast<std::chrono::milliseconds>(retry::quarantine_time);
+    for (auto const fingerprint : fingerprints)
+        state.quarantine_ends_ms.try_emplace(fingerprint, wall_clock_ms + length.count());
+}
+
+std::vector<std::uint64_t> apply_quarantines(crash_watch& state,
+                                             std::span<fleet::quarantined_request const> published,
+                                             std::uint64_t wall_clock_ms,
+                                             kernel::monotonic_time now)
+{
+    using std::chrono::milliseconds;
+    constexpr auto length = std::chrono::duration_cast<milliseconds>(retry::quarantine_time);
+    std::vector<std::uint64_t> begun;
+    for (auto const& known : published)
+    {
+        if (known.ends_at_ms <= wall_clock_ms ||
+            state.quarantine_ends_ms.size() >= retry::max_fingerprints)
+            continue;
+        auto const latest_end = wall_clock_ms + static_cast<std::uint64_t>(length.count());
+        auto const ends_at_ms = std::min(known.ends_at_ms, latest_end);
+        if (!state.quarantine_ends_ms.try_emplace(known.fingerprint, ends_at_ms).second)
+            continue;
+        auto const remaining = milliseconds(ends_at_ms - wall_clock_ms);
+        retry::set_quarantined(state.suspects, known.fingerprint, true, now + remaining);
+        begun.push_back(known.fingerprint);
+    }
+    return begun;
+}
+
+std::vector<std::uint64_t> restore_reports(crash_watch& state,
+                                           std::span<fleet::crash_report const> reports,
+                                           kernel::monotonic_time now)
+{
+    for (auto const& report : reports)
+    {
+        bool const is_known = std::any_of(state.own_reports.begin(),
+                                          state.own_reports.end(),
+                                          [&report](auto const& own)
+                                          {
+                                              return own.first == report;
+                                          });
+        if (!is_known)
+            add_own_report(state, report, now);
+    }
+    return apply_reports(state, reports, now);
+}
+
 std::size_t record_answer(crash_watch& state, gateway_request const& request)
 {
     if (state.suspects.suspicions.empty())
@@ -123,14 +195,34 @@
                       return now >= entry.second;
                   });
     retry::expire(state.suspects, now);
+    std::erase_if(state.quarantine_ends_ms,
+                  [&state, now](auto const& entry)
+                  {
+                      return !retry::is_quarantined(state.suspects, entry.first, now);
+                  });
 }
 
-std::vector<fleet::crash_report> collect_reports(crash_watch const& state)
+fleet::crash_knowledge collect_crash_knowledge(crash_watch const& state,
+                                               std::string const& own,
+                                               std::span<std::string const> hosts)
 {
-    std::vector<fleet::crash_report> reports;
+    fleet::crash_knowledge result;
     for (auto const& [report, expires_at] : state.own_reports)
-        reports.push_back(report);
-    return reports;
+        result.reports.push_back(report);
+    for (auto const& [fingerprint, ends_at_ms] : state.quarantine_ends_ms)
+    {
+        if (keeps_copy(fingerprint, own, hosts))
+            result.quarantines.push_back({fingerprint, ends_at_ms});
+    }
+    std::stable_sort(result.quarantines.begin(),
+                     result.quarantines.end(),
+                     [](auto const& left, auto const& right)
+                     {
+                         return left.ends_at_ms > right.ends_at_ms;
+                     });
+    if (result.quarantines.size() > max_published_quarantines)
+        result.quarantines.resize(max_published_quarantines);
+    return result;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -36,6 +36,13 @@
 /// first.
 inline constexpr std::size_t max_crash_reports = 32;
 
+/// Maximum number of quarantines that are published to other daemons; those that end last.
+inline constexpr std::size_t max_published_quarantines = 32;
+
+/// Number of hosts whose registrations hold a quarantine. With more hosts than that, each
+/// quarantine is published by the first ones in the order of its rendezvous scores.
+inline constexpr std::size_t quarantine_copies = 8;
+
 /// Maximum number of broken sends whose server may still be found crashed; the oldest is dropped
 /// first.
 inline constexpr std::size_t max_pending_breaks = 1024;
@@ -63,6 +70,9 @@
     /// reports; a repeated one must not count again, since the suspect may have been answered and
     /// cleared in the meantime.
     std::map<std::pair<std::uint64_t, std::string>, kernel::monotonic_time> received_reports;
+    /// Ends of the quarantines on the wall clock, in milliseconds since the Unix epoch. The end is
+    /// passed on unchanged, so that a quarantine does not grow longer from host to host.
+    std::map<std::uint64_t, std::uint64_t> quarantine_ends_ms;
 };
 
 /// @returns the fingerprint of a request: its caller, method, target and body.
@@ -85,6 +95,27 @@
                                          std::span<fleet::crash_report const> reports,
                                          kernel::monotonic_time now);
 
+/// Records the end of quarantines that record_crash() or apply_reports() has just begun.
+/// @param wall_clock_ms current wall clock in milliseconds since the Unix epoch.
+void begin_quarantines(crash_watch& state,
+                       std::span<std::uint64_t const> fingerprints,
+                       std::uint64_t wall_clock_ms);
+
+/// Applies the quarantines that another daemon published. Ended ones are ignored, and none lasts
+/// longer than one that begins now.
+/// @param wall_clock_ms current wall clock in milliseconds since the Unix epoch.
+/// @returns the fingerprints that were not quarantined before.
+std::vector<std::uint64_t> apply_quarantines(crash_watch& state,
+                                             std::span<fleet::quarantined_request const> published,
+                                             std::uint64_t wall_clock_ms,
+                                             kernel::monotonic_time now);
+
+/// Takes over the crash reports that an earlier process of this host published.
+/// @returns the fingerprints that these reports quarantined.
+std::vector<std::uint64_t> restore_reports(crash_watch& state,
+                                           std::span<fleet::crash_report const> reports,
+                                           kernel::monotonic_time now);
+
 /// Records that a server ran the request to its end, which clears a suspicion that has not led to a
 /// quarantine. This daemon no longer reports the request as a suspect to the other daemons.
 /// @returns the number of crashes that counted against the request and no longer do.
@@ -103,7 +134,11 @@
 /// Removes expired broken sends, reports and suspicions.
 void expire(crash_watch& state, kernel::monotonic_time now);
 
-/// @returns the crash reports that are published to the other daemons.
-[[nodiscard]] std::vector<fleet::crash_report> collect_reports(crash_watch const& state);
+/// @returns what this daemon publishes to the others.
+/// @param own name of this host.
+/// @param hosts names of all hosts that may publish, with this one; empty if they are unknown.
+[[nodiscard]] fleet::crash_knowledge collect_crash_knowledge(crash_watch const& state,
+                                                             std::string const& own,
+                                                             std::span<std::string const> hosts);
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -22,6 +22,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 
 namespace pistachiohub::gateway
 {
@@ -44,8 +45,10 @@
     std::function<void(gateway_request const&, outcome)> settle;
     /// Checks whether anything still listens at the server's address. server_checked() must follow.
     std::function<void(server_pointer const&)> check_server;
-    /// Publishes the crash reports of this daemon to the other daemons.
-    std::function<void(std::vector<fleet::crash_report>&&)> report_crashes;
+    /// Publishes what this daemon knows of requests that crash servers to the other daemons.
+    std::function<void(fleet::crash_knowledge&&)> publish_crashes;
+    /// @returns the wall clock in milliseconds since the Unix epoch.
+    std::function<std::uint64_t()> wall_clock_ms;
     /// @returns a number in `[0, 1)`.
     std::function<double()> random;
 };
@@ -230,7 +233,12 @@
     void log_suspect_sent(gateway_request const& request,
                           std::size_t crashes,
                           kernel::monotonic_time now);
-    void log_quarantined(std::uint64_t fingerprint, std::string_view source);
+    /// Applies what another host, or an earlier process of this one, published.
+    void apply_crash_knowledge(fleet::entry_host const& host, kernel::monotonic_time now);
+    void handle_new_quarantines(std::span<std::uint64_t const> fingerprints,
+                                std::string_view source);
+    /// Publishes what this daemon knows of crashes, unless it has published just that.
+    void publish_crashes();
     void log_added_server(std::string const& id);
     void log_lost_servers(std::vector<std::string> const& ids, std::string_view cause);
     [[nodiscard]] bool admit_cold_request(known_server& server, kernel::monotonic_time now);
@@ -244,6 +252,8 @@
     kernel::log_limiter m_request_log;
 
     crash_watch m_crashes;
+    fleet::crash_knowledge m_published_crashes;
+    bool m_has_restored_reports = false;
     std::shared_ptr<routing::routing_table const> m_table;
     server_table m_servers;
     host_table m_hosts;
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -4,7 +4,10 @@
 
 #include "plugins/gateway/dispatcher.hpp"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
+#include <utility>
 
 namespace pistachiohub::gateway
 {
@@ -31,6 +34,14 @@
     return server.record.id + '/' + std::to_string(server.record.started_at_ms);
 }
 
+void log_quarantined(std::uint64_t fingerprint, std::string_view source)
+{
+    kernel::log_event(kernel::log_level::warning,
+                      "gateway",
+                      "request_quarantined",
+                      {{"fingerprint", fingerprint}, {"reported_by", source}});
+}
+
 /// Sums of load and slots of the servers up to one distance.
 struct load_sum
 {
@@ -129,11 +140,25 @@
     gateway::apply(m_hosts, update, now);
     for (auto const& object : update.changes)
     {
-        if (!object.record || object.name == m_own_name)
-            continue;
-        for (auto const fingerprint : apply_reports(m_crashes, object.record->crashes, now))
-            log_quarantined(fingerprint, object.name);
+        if (object.record)
+            apply_crash_knowledge(*object.record, now);
     }
+    publish_crashes();
+}
+
+void dispatcher::apply_crash_knowledge(fleet::entry_host const& host, kernel::monotonic_time now)
+{
+    bool const is_own = host.name == m_own_name;
+    // Later registrations of this host hold only what this process has published itself.
+    if (is_own && std::exchange(m_has_restored_reports, true))
+        return;
+    handle_new_quarantines(is_own ? restore_reports(m_crashes, host.crashes.reports, now)
+                                  : apply_reports(m_crashes, host.crashes.reports, now),
+                           host.name);
+    auto const wall_clock_ms = m_actions.wall_clock_ms();
+    for (auto const fingerprint :
+         apply_quarantines(m_crashes, host.crashes.quarantines, wall_clock_ms, now))
+        log_quarantined(fingerprint, host.name);
 }
 
 void dispatcher::record_broken_send(gateway_request const& request, kernel::monotonic_time now)
@@ -188,12 +213,35 @@
                       {{"server", std::string_view(server->record.id)},
                        {"version", server->version},
                        {"suspects", fingerprints.size()}});
+    std::vector<std::uint64_t> quarantined;
+    std::copy_if(fingerprints.begin(),
+                 fingerprints.end(),
+                 std::back_inserter(quarantined),
+                 [this, now](std::uint64_t fingerprint)
+                 {
+                     return retry::is_quarantined(m_crashes.suspects, fingerprint, now);
+                 });
+    handle_new_quarantines(quarantined, m_own_name);
+    publish_crashes();
+}
+
+void dispatcher::handle_new_quarantines(std::span<std::uint64_t const> fingerprints,
+                                        std::string_view source)
+{
+    if (fingerprints.empty())
+        return;
+    begin_quarantines(m_crashes, fingerprints, m_actions.wall_clock_ms());
     for (auto const fingerprint : fingerprints)
-    {
-        if (retry::is_quarantined(m_crashes.suspects, fingerprint, now))
-            log_quarantined(fingerprint, m_own_name);
-    }
-    m_actions.report_crashes(collect_reports(m_crashes));
+        log_quarantined(fingerprint, source);
+}
+
+void dispatcher::publish_crashes()
+{
+    auto known = collect_crash_knowledge(m_crashes, m_own_name, m_sharing_hosts);
+    if (known == m_published_crashes)
+        return;
+    m_published_crashes = known;
+    m_actions.publish_crashes(std::move(known));
 }
 
 void dispatcher::record_answer_of_suspect(gateway_request const& request,
@@ -238,14 +286,6 @@
                            {"suppressed", m_request_log.take_suppressed()}});
 }
 
-void dispatcher::log_quarantined(std::uint64_t fingerprint, std::string_view source)
-{
-    kernel::log_event(kernel::log_level::warning,
-                      "gateway",
-                      "request_quarantined",
-                      {{"fingerprint", fingerprint}, {"reported_by", source}});
-}
-
 void dispatcher::set_server_store_reachable(bool is_reachable, kernel::monotonic_time now)
 {
     gateway::apply_store_state(m_servers, is_reachable, now);
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -192,11 +192,12 @@
                                    server, is_refused, kernel::monotonic_now());
                            });
         };
-        actions.report_crashes = [this](std::vector<fleet::crash_report>&& reports)
+        actions.publish_crashes = [this](fleet::crash_knowledge&& known)
         {
-            m_context.shared<kernel::snapshot<std::vector<fleet::crash_report>>>().publish(
-                std::make_shared<std::vector<fleet::crash_report> const>(std::move(reports)));
+            m_context.shared<kernel::snapshot<fleet::crash_knowledge>>().publish(
+                std::make_shared<fleet::crash_knowledge const>(std::move(known)));
         };
+        actions.wall_clock_ms = kernel::wall_clock_ms;
         actions.random = [this]()
         {
             return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/tests/gateway/crash_fleet.cpp
+++ b/tests/gateway/crash_fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/gateway/crash_fleet.hpp"
 
+#include "libraries/fleet/entry_host_document.hpp"
+
 #include <algorithm>
 
 namespace pistachiohub::gateway_test
@@ -140,9 +142,9 @@
                   of.decisions->server_checked(checked, !listens, m_now);
               });
     };
-    actions.report_crashes = [this, &of](std::vector<fleet::crash_report>&& reports)
+    actions.publish_crashes = [this, &of](fleet::crash_knowledge&& known)
     {
-        of.record.crashes = std::move(reports);
+        of.record.crashes = std::move(known);
         after(of,
               draw(0, 250),
               [this, &of]()
@@ -150,6 +152,10 @@
                   write_registration(of);
               });
     };
+    actions.wall_clock_ms = [this]()
+    {
+        return static_cast<std::uint64_t>(m_now.time_since_epoch() / milliseconds(1));
+    };
     actions.random = [this]()
     {
         return draw_fraction();
@@ -207,6 +213,9 @@
 
 void crash_fleet::write_registration(host& writer)
 {
+    auto const earlier = m_registrations.find(writer.name);
+    if (writer.record.report == 0 && earlier != m_registrations.end())
+        fleet::inherit_crashes(writer.record.crashes, earlier->second.crashes);
     ++writer.record.report;
     m_registrations[writer.name] = writer.record;
     ++m_revision;
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+
 namespace pistachiohub
 {
 
@@ -45,12 +47,22 @@
             events::store_update<fleet::backend_server>{false, 3, {{record.id, 3, record}}}, m_now);
     }
 
+    /// Replaces the dispatcher by one that has read the configuration and the servers only.
+    void restart()
+    {
+        m_dispatcher = make_dispatcher();
+        publish(m_document.version);
+        m_dispatcher->apply(events::store_update<fleet::backend_server>{true, 1, {}}, m_now);
+        for (int number = 1; number <= 5; ++number)
+            add_server("i-" + std::to_string(number), "sve-a", 10);
+    }
+
     void receive_reports_of_other_host(std::vector<fleet::crash_report> crashes)
     {
         fleet::entry_host host;
         host.name = "host-2";
         host.report = 1;
-        host.crashes = std::move(crashes);
+        host.crashes.reports = std::move(crashes);
         m_dispatcher->apply(
             events::store_update<fleet::entry_host>{false, 2, {{host.name, 2, host}}}, m_now);
     }
@@ -199,19 +211,79 @@
 // Guards against a host that forgets, when it restarts, the crashes that it alone detected.
 TEST_CASE_METHOD(crash_fixture, "crash_reports_of_an_earlier_process_are_kept", "[gateway]")
 {
-    auto const request = begin("/o/crash");
-    auto const fingerprint = gateway::crash_fingerprint(*request);
+    auto const fingerprint = gateway::crash_fingerprint(*begin("/o/crash"));
+    restart();
     fleet::entry_host own;
     own.name = "host-1";
     own.report = 7;
-    own.crashes = {{fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}};
+    own.crashes.reports = {{fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}};
     m_dispatcher->apply(events::store_update<fleet::entry_host>{true, 9, {{own.name, 9, own}}},
                         m_now);
-    break_connection(request, true);
+    break_connection(begin("/o/crash"), true);
     CHECK(m_reports.size() == 3);
     CHECK(status_of(begin("/o/crash")) == 503);
 }
 
+// Guards against a host that starts after the hosts which detected the crashes have ended: a
+// quarantine must be kept by the others.
+TEST_CASE_METHOD(crash_fixture, "quarantine_reaches_a_host_that_starts_later", "[gateway]")
+{
+    auto const fingerprint = gateway::crash_fingerprint(*begin("/o/crash"));
+    receive_reports_of_other_host(
+        {{fingerprint, "i-7/1"}, {fingerprint, "i-8/1"}, {fingerprint, "i-9/1"}});
+    REQUIRE(m_quarantines.size() == 1);
+    auto const published = m_quarantines;
+    restart();
+    fleet::entry_host other;
+    other.name = "host-3";
+    other.report = 1;
+    other.crashes.quarantines = published;
+    m_dispatcher->apply(events::store_update<fleet::entry_host>{true, 9, {{other.name, 9, other}}},
+                        m_now);
+    CHECK(status_of(begin("/o/crash")) == 503);
+    CHECK(m_quarantines == published);
+}
+
+// A quarantine that is passed from host to host must end at the time that the first host has set.
+TEST_CASE("quarantine_that_is_passed_on_ends_at_its_time", "[gateway]")
+{
+    constexpr std::uint64_t wall_clock_ms = 1'800'000'000'000;
+    gateway::crash_watch state;
+    std::vector<fleet::quarantined_request> const published{
+        {7, wall_clock_ms + 10'000}, {8, wall_clock_ms}, {9, UINT64_MAX}};
+    CHECK(gateway::apply_quarantines(state, published, wall_clock_ms, start).size() == 2);
+    CHECK(gateway::apply_quarantines(state, published, wall_clock_ms + 1000, start + seconds(1))
+              .empty());
+    auto const kept = gateway::collect_crash_knowledge(state, "host-1", {}).quarantines;
+    REQUIRE(kept.size() == 2);
+    CHECK(kept.back() == published.front());
+    CHECK(retry::is_quarantined(state.suspects, 7, start + milliseconds(9999)));
+    CHECK_FALSE(retry::is_quarantined(state.suspects, 7, start + seconds(10)));
+    CHECK_FALSE(retry::is_quarantined(state.suspects, 9, start + retry::quarantine_time));
+    gateway::expire(state, start + retry::quarantine_time);
+    CHECK(gateway::collect_crash_knowledge(state, "host-1", {}).quarantines.empty());
+}
+
+// Load pattern: hundreds of hosts hear of the same quarantine. Each registration that changes is a
+// write to the store.
+TEST_CASE("quarantine_is_published_by_few_hosts_of_a_large_fleet", "[gateway]")
+{
+    std::vector<std::string> hosts;
+    for (int number = 0; number < 300; ++number)
+        hosts.push_back("host-" + std::to_string(number));
+    gateway::crash_watch state;
+    std::vector<fleet::quarantined_request> const published{{7, 2000}};
+    static_cast<void>(gateway::apply_quarantines(state, published, 1000, start));
+    auto const copies = std::count_if(
+        hosts.begin(),
+        hosts.end(),
+        [&](std::string const& host)
+        {
+            return !gateway::collect_crash_knowledge(state, host, hosts).quarantines.empty();
+        });
+    CHECK(copies == gateway::quarantine_copies);
+}
+
 /// A dispatcher with one server.
 class lone_server_fixture : public gateway_test::dispatcher_fixture
 {
@@ -326,9 +398,10 @@
         gateway::add_pending_break(state, number, "i-1", start);
     CHECK(state.pending_breaks.size() == gateway::max_pending_breaks);
     CHECK(gateway::record_crash(state, "i-1", start).size() == gateway::max_pending_breaks);
-    CHECK(gateway::collect_reports(state).size() == gateway::max_crash_reports);
+    CHECK(gateway::collect_crash_knowledge(state, "host-1", {}).reports.size() ==
+          gateway::max_crash_reports);
     gateway::expire(state, start + retry::quarantine_time);
-    CHECK(gateway::collect_reports(state).empty());
+    CHECK(gateway::collect_crash_knowledge(state, "host-1", {}).reports.empty());
     CHECK(state.suspects.suspicions.empty());
 }
 
--- a/tests/gateway/dispatcher_fixture.hpp
+++ b/tests/gateway/dispatcher_fixture.hpp
@@ -39,6 +39,9 @@
     std::vector<gateway::server_pointer> m_checked;
     /// Crash reports that were published last.
     std::vector<fleet::crash_report> m_reports;
+    /// Quarantines that were published last.
+    std::vector<fleet::quarantined_request> m_quarantines;
+    std::uint64_t m_wall_clock_ms = 1'800'000'000'000;
     /// Recorded outcomes by request id.
     std::multimap<std::string, outcome> m_settled;
     double m_random = 0.5;
@@ -98,9 +101,14 @@
         {
             m_checked.push_back(server);
         };
-        actions.report_crashes = [this](std::vector<fleet::crash_report>&& reports)
+        actions.publish_crashes = [this](fleet::crash_knowledge&& known)
         {
-            m_reports = std::move(reports);
+            m_reports = std::move(known.reports);
+            m_quarantines = std::move(known.quarantines);
+        };
+        actions.wall_clock_ms = [this]()
+        {
+            return m_wall_clock_ms;
         };
         actions.random = [this]()
         {
--- a/tests/gateway/entry_host_document_test.cpp
+++ b/tests/gateway/entry_host_document_test.cpp
@@ -31,6 +31,31 @@
     CHECK(read.report == host.report);
 }
 
+TEST_CASE("entry_host_document_keeps_crashes_and_quarantines", "[gateway]")
+{
+    auto host = make_host("10.0.0.2");
+    host.crashes.reports = {{UINT64_MAX, "i-1/5"}};
+    host.crashes.quarantines = {{UINT64_MAX, 1'800'000'000'000}};
+    CHECK(fleet::parse_entry_host("host-2", fleet::to_document(host)).crashes == host.crashes);
+}
+
+// During an upgrade, daemons of the version before write registrations without quarantines.
+TEST_CASE("entry_host_document_without_quarantines_is_read", "[gateway]")
+{
+    auto text = fleet::to_document(make_host("10.0.0.2"));
+    std::string const added = ",\"quarantines\":[]";
+    REQUIRE(text.find(added) != std::string::npos);
+    text.erase(text.find(added), added.size());
+    CHECK(fleet::parse_entry_host("host-2", text).crashes.quarantines.empty());
+}
+
+TEST_CASE("entry_host_inherits_what_an_earlier_process_found", "[gateway]")
+{
+    fleet::crash_knowledge own{{{1, "i-1/1"}}, {{1, 5}}};
+    fleet::inherit_crashes(own, {{{1, "i-1/1"}, {1, "i-2/1"}}, {{1, 5}, {2, 6}}});
+    CHECK(own == fleet::crash_knowledge{{{1, "i-1/1"}, {1, "i-2/1"}}, {{1, 5}, {2, 6}}});
+}
+
 // Any client may write to the store. A host without a usable address would be named to callers, and
 // other daemons would read the store through it.
 TEST_CASE("entry_host_document_without_usable_address_is_refused", "[gateway]")
