gateway: Read and log the limits that backend servers name

Change: platform/ decodes the notice of an answer's head into a plain type; a malformed, negative, infinite or absurd value is ignored, counted and logged once a server. The daemon remembers the limit of each server, logs when one is named, changed or ended, and does nothing else with it yet. A large answer that is passed on in parts is read at its head too, and a 421 says nothing of the server that was meant. Measured: the test cases of [gateway], [retry] and [platform] pass, two new ones for the notice.

--- a/libraries/interface/interface.hpp
+++ b/libraries/interface/interface.hpp
@@ -11,6 +11,8 @@
 #include "libraries/routing/route.hpp"
 
 #include <chrono>
+#include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,6 +27,19 @@
     using error::error;
 };
 
+/// What an answer says of the backend server that made it.
+struct server_notice
+{
+    /// Requests a second that the server takes from all entry hosts together; missing if it names
+    /// no limit.
+    std::optional<double> max_requests_per_second;
+    /// Whether the answer holds a notice that cannot be read. It says nothing then.
+    bool is_malformed = false;
+};
+
+/// Returns the value of the header with the given name, or an empty view.
+using header_lookup = std::function<std::string_view(std::string_view name)>;
+
 /// Names of the headers that the gateway reads or sets.
 struct message_headers
 {
@@ -44,6 +59,8 @@
     std::string_view not_started;
     /// Running requests, waiting requests and slots of the backend server.
     std::string_view load;
+    /// Reads what an answer says of its backend server.
+    server_notice (*read_notice)(header_lookup const& headers) = nullptr;
 };
 
 /// Kinds of objects in the store.
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "kernel/log.hpp"
 #include "kernel/metrics.hpp"
 #include "kernel/settings.hpp"
+#include "libraries/interface/interface.hpp"
 #include "plugins/gateway/crash_watch.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 #include "plugins/gateway/refusal.hpp"
@@ -149,6 +150,11 @@
     /// `caller_deadline`.
     void begin(request_pointer const& request, kernel::monotonic_time now);
 
+    /// Handles what an answer to the request says of the server that it was sent to.
+    void server_notice_received(gateway_request const& request,
+                                interface::server_notice const& notice,
+                                kernel::monotonic_time now);
+
     /// Handles that the backend server has begun an answer that the caller receives in parts.
     void stream_began(gateway_request& request, kernel::monotonic_time now);
 
@@ -233,6 +239,10 @@
     void log_suspect_sent(gateway_request const& request,
                           std::size_t crashes,
                           kernel::monotonic_time now);
+    void log_malformed_notice(known_server& server);
+    void apply_limit(known_server& server,
+                     std::optional<double> const& named,
+                     kernel::monotonic_time now);
     /// Applies what another host, or an earlier process of this one, published.
     void apply_crash_knowledge(fleet::entry_host const& host, kernel::monotonic_time now);
     void handle_new_quarantines(std::span<std::uint64_t const> fingerprints,
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -229,6 +229,11 @@
     server_pool_events make_server_pool_events()
     {
         server_pool_events events;
+        events.notice_received =
+            [this](request_pointer const& request, interface::server_notice const& notice)
+        {
+            m_dispatcher.server_notice_received(*request, notice, kernel::monotonic_now());
+        };
         events.stream_begun = [this](request_pointer const& request,
                                      answer&& head,
                                      std::optional<std::uint64_t> length)
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -161,6 +161,7 @@
     void parse();
     void on_end_of_input(error_code failure);
     void on_head();
+    void read_notice();
     /// @returns whether parsing goes on.
     [[nodiscard]] bool on_body();
     [[nodiscard]] bool skip_body();
@@ -352,10 +353,23 @@
         return finish(attempt_result::broken, "unproven");
     case message_meaning::not_started:
     case message_meaning::answer:
-        return;
+        return read_notice();
     }
 }
 
+void server_connection::implementation::read_notice()
+{
+    constexpr unsigned misdirected_request = 421;
+    // Another server answers there.
+    if (received.status == misdirected_request)
+        return;
+    handlers.notice_received(names.read_notice(
+        [this](std::string_view name)
+        {
+            return find_header_value(received.headers, name);
+        }));
+}
+
 bool server_connection::implementation::should_stream() const
 {
     auto const size = answer_parser->get().body().size();
--- a/plugins/gateway/server_connection.hpp
+++ b/plugins/gateway/server_connection.hpp
@@ -20,6 +20,8 @@
 /// Callbacks of one exchange; none is called from within a call to the connection.
 struct exchange_handlers
 {
+    /// The head of the answer was read, with what it says of the backend server.
+    std::function<void(interface::server_notice const&)> notice_received;
     /// A large answer has begun, whose body follows in parts. Not called for small answers, which
     /// `ended` delivers whole.
     /// @param length size of the body, if the backend server announced it.
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -91,6 +91,10 @@
 exchange_handlers server_connection_pool::make_handlers(request_pointer const& request)
 {
     exchange_handlers handlers;
+    handlers.notice_received = [this, request](interface::server_notice const& notice)
+    {
+        m_events.notice_received(request, notice);
+    };
     handlers.stream_begun = [this, request](answer&& head, std::optional<std::uint64_t> length)
     {
         m_events.stream_begun(request, std::move(head), length);
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -7,6 +7,7 @@
 #include "libraries/events/gateway_event.hpp"
 #include "libraries/fleet/backend_server.hpp"
 #include "libraries/routing/routing_table.hpp"
+#include "plugins/gateway/rate_limit.hpp"
 
 #include <map>
 #include <memory>
@@ -77,6 +78,10 @@
     /// Second of the monotonic clock in which `cold_sent` requests were sent to the cold server.
     std::int64_t cold_second = 0;
     double cold_sent = 0;
+    /// Missing unless the server names a limit.
+    std::optional<rate_limit> limit;
+    /// Whether an unreadable notice of the server was logged.
+    bool is_malformed_notice_logged = false;
 };
 
 using server_pointer = std::shared_ptr<known_server>;
--- /dev/null
+++ b/tests/platform/server_notice_test.cpp
@@ -0,0 +1,48 @@
+#include "platform/server_notice.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+interface::server_notice read_limit(std::string const& value)
+{
+    return platform::read_server_notice(
+        [&value](std::string_view name)
+        {
+            return name == "Server-Limit" ? std::string_view(value) : std::string_view();
+        });
+}
+
+} // namespace
+
+TEST_CASE("server_notice_limit_is_read", "[platform]")
+{
+    CHECK(read_limit("1.5").max_requests_per_second == 1.5);
+    CHECK(read_limit(" 0\t").max_requests_per_second == 0);
+    CHECK_FALSE(read_limit("").max_requests_per_second);
+    CHECK_FALSE(read_limit("").is_malformed);
+}
+
+// Any bytes may come from a faulty server.
+TEST_CASE("server_notice_absurd_limit_is_ignored", "[platform]")
+{
+    auto const value = GENERATE(std::string("-1"),
+                                std::string("inf"),
+                                std::string("nan"),
+                                std::string("1e300"),
+                                std::string("9999999999999"),
+                                std::string("1,5"),
+                                std::string("1.5 per second"),
+                                std::string("0x10"),
+                                std::string("\xff\x00", 2));
+    CHECK_FALSE(read_limit(value).max_requests_per_second);
+    CHECK(read_limit(value).is_malformed);
+}
+
+} // namespace pistachiohub
