--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 namespace pistachiohub
@@ -460,4 +461,48 @@
     CHECK(settled[0].result == outcome::ran);
 }
 
+// Guards against a limit in the answers of a server that the gateway does not keep. The rule allows
+// one and a half times the limit and five requests in four seconds, from half a second after the
+// first such answer was passed on.
+TEST_CASE_METHOD(gateway_fixture, "gateway_limit_of_a_server_is_kept", "[gateway]")
+{
+    constexpr double limit = 1.5;
+    constexpr auto interval = milliseconds(50);
+    constexpr int untold_requests = 10;
+    constexpr int counted_requests = 80;
+    constexpr int allowed = 14;
+    std::atomic<int> reached = 0;
+    std::atomic<bool> is_done = false;
+    std::thread server(
+        [this, &reached, &is_done]()
+        {
+            auto connection = m_server.accept();
+            while (!is_done)
+            {
+                auto const request = connection.receive_message();
+                if (request.empty())
+                    return;
+                ++reached;
+                auto const id = request.substr(7, request.find(' ', 7) - 7);
+                connection.send(
+                    answer_to(id, "x", "Server-Limit: " + std::to_string(limit) + "\r\n"));
+            }
+        });
+    auto caller = connect();
+    int reached_untold = 0;
+    for (int number = 0; number < untold_requests + counted_requests; ++number)
+    {
+        if (number == untold_requests)
+            reached_untold = reached;
+        caller.send(get(std::to_string(number)));
+        static_cast<void>(caller.receive_message());
+        std::this_thread::sleep_for(interval);
+    }
+    is_done = true;
+    m_running.reset();
+    server.join();
+    CHECK(reached_untold > 0);
+    CHECK(reached - reached_untold <= allowed);
+}
+
 } // namespace pistachiohub
