gateway: Share the limit that a backend server names

Change: rate_limit, a module without clock and network, splits a limit among the hosts of the server's region and lets the other hosts check now and then whether it has ended. The choice of a server leaves one without a permitted request out, a wait for one counts until its share permits the request, and its slots count for the utilisation only as far as the limit can fill them. Why it works: the sum of the shares is below the limit, and what can be saved up is bounded, whichever hosts send. Ruled out: equal shares for all hosts (most of them would never use theirs); turns by the wall clock (clocks differ); only telling by the servers' answers without checks (a host that sends nothing would never learn of the end).

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -345,6 +345,8 @@
     ++request->sends;
     request->tried_servers.push_back(request->server->record.id);
     ++request->server->own_in_flight;
+    if (request->server->limit)
+        record_sent(*request->server->limit, now, m_actions.random);
     if (request->sends == 1)
         ++served_counts_at(state_of(request->service), *request->server).sent;
     ++state_of(request->service).running;
@@ -360,9 +362,11 @@
     assert(request->awaited_server);
     // The request is already counted as waiting, but does not wait for itself.
     --request->awaited_server->own_queued;
-    auto const wait_seconds =
+    auto wait_seconds =
         expected_wait_seconds(*request->awaited_server, state.smoothed_run_seconds, now);
     ++request->awaited_server->own_queued;
+    if (auto const& limit = request->awaited_server->limit)
+        wait_seconds = std::max(wait_seconds, seconds_until_permitted(*limit, now));
     auto const waited = seconds_value(now - request->arrived_at).count();
     auto const target = seconds_value(request->route->target_latency).count();
     bool const has_time = now + min_run_time < request->answer_deadline;
@@ -694,6 +698,7 @@
     m_last_adaptation = now;
     expire(m_crashes, now);
     m_sharing_hosts = budget_sharing_hosts(m_hosts, now);
+    update_limit_shares(now);
     for (auto& [service, state] : m_services)
         update_utilisation(service, state, now);
 }
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -243,6 +243,8 @@
     void apply_limit(known_server& server,
                      std::optional<double> const& named,
                      kernel::monotonic_time now);
+    void update_limit_share(known_server& server, kernel::monotonic_time now);
+    void update_limit_shares(kernel::monotonic_time now);
     /// Applies what another host, or an earlier process of this one, published.
     void apply_crash_knowledge(fleet::entry_host const& host, kernel::monotonic_time now);
     void handle_new_quarantines(std::span<std::uint64_t const> fingerprints,
--- a/plugins/gateway/dispatcher_notices.cpp
+++ b/plugins/gateway/dispatcher_notices.cpp
@@ -39,7 +39,12 @@
         return;
     auto const named_at = is_known ? server.limit->named_at : now;
     if (named)
-        server.limit = {*named, named_at};
+    {
+        if (!is_known)
+            server.limit.emplace().named_at = now;
+        server.limit->max_requests_per_second = *named;
+        update_limit_share(server, now);
+    }
     else
         server.limit.reset();
     auto const change = !named ? "ended" : is_known ? "changed" : "named";
@@ -55,9 +60,33 @@
              {"change", change},
              {"max_per_second", named.value_or(0)},
              {"max_per_second_before", before},
+             {"own_per_second", server.limit ? server.limit->share.requests_per_second : 0},
+             {"hosts", m_sharing_hosts.size()},
              {"named_ms_ago",
               std::chrono::duration_cast<std::chrono::milliseconds>(now - named_at).count()},
              {"suppressed", m_request_log.take_suppressed()}});
 }
 
+void dispatcher::update_limit_share(known_server& server, kernel::monotonic_time now)
+{
+    auto const in_region = select_hosts_in_region(m_hosts, m_sharing_hosts, server.region);
+    set_share(*server.limit,
+              share_limit(server.limit->max_requests_per_second,
+                          server.record.id,
+                          m_own_name,
+                          in_region,
+                          m_sharing_hosts),
+              now,
+              m_actions.random);
+}
+
+void dispatcher::update_limit_shares(kernel::monotonic_time now)
+{
+    for (auto const& [id, server] : m_servers.servers)
+    {
+        if (server->limit)
+            update_limit_share(*server, now);
+    }
+}
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -310,7 +310,7 @@
              ++nearest)
         {
             sums[nearest].load += load;
-            sums[nearest].slots += server->record.slots;
+            sums[nearest].slots += usable_slots(*server, state.smoothed_run_seconds);
         }
     }
     // Waiting requests have no slot yet, but belong to the load of the nearest servers.
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -138,6 +138,21 @@
     return names;
 }
 
+std::vector<std::string> select_hosts_in_region(host_table const& table,
+                                                std::span<std::string const> names,
+                                                std::string_view region)
+{
+    std::vector<std::string> selected;
+    for (auto const& name : names)
+    {
+        auto const found = table.hosts.find(name);
+        auto const& record = found == table.hosts.end() ? table.own : found->second.record;
+        if (record.name == name && record.region == region)
+            selected.push_back(name);
+    }
+    return selected;
+}
+
 fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now)
 {
     auto group = select_group(table, now, &fleet::entry_host::failure_domain);
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -8,6 +8,7 @@
 #include "libraries/fleet/relay_choice.hpp"
 #include "libraries/routing/routing_table.hpp"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,6 +72,12 @@
 [[nodiscard]] std::vector<std::string> budget_sharing_hosts(host_table const& table,
                                                             kernel::monotonic_time now);
 
+/// @param names names of hosts.
+/// @returns those of the names whose hosts are in the region, in the same order.
+[[nodiscard]] std::vector<std::string> select_hosts_in_region(host_table const& table,
+                                                              std::span<std::string const> names,
+                                                              std::string_view region);
+
 /// Maximum size of a group of hosts in which one host reads the store for the others.
 inline constexpr std::size_t max_hosts_per_reader = 16;
 
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -64,11 +64,10 @@
             was_tried(request, *server) || (skips_missing && server->missing_since))
             continue;
         auto& available = result[static_cast<std::size_t>(server->proximity)];
-        // Servers that failed recently are left out as long as there are others at the same
-        // distance.
-        auto& target = now >= server->backoff_until
-                           ? available
-                           : avoided[static_cast<std::size_t>(server->proximity)];
+        // Servers that failed recently, or have got what they take, are left out as long as there
+        // are others at the same distance.
+        auto& target = is_open(*server, now) ? available
+                                             : avoided[static_cast<std::size_t>(server->proximity)];
         target.servers.push_back(server);
         target.candidates.push_back({server->hash, static_cast<double>(server->record.slots)});
     }
@@ -104,8 +103,7 @@
                 choice_input const& input,
                 std::function<bool(known_server&)> const& admit_cold_request)
 {
-    return has_capacity(server, input.now, input.queue_per_slot) &&
-           input.now >= server.backoff_until &&
+    return has_capacity(server, input.now, input.queue_per_slot) && is_open(server, input.now) &&
            (input.now >= server.cold_until || admit_cold_request(server));
 }
 
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -220,6 +220,18 @@
            !table.evacuated_domains.contains(server.record.failure_domain);
 }
 
+bool is_open(known_server const& server, kernel::monotonic_time now)
+{
+    return now >= server.backoff_until && (!server.limit || may_send(*server.limit, now));
+}
+
+double usable_slots(known_server const& server, double run_seconds)
+{
+    double const slots = server.record.slots;
+    return server.limit ? std::min(slots, server.limit->max_requests_per_second * run_seconds)
+                        : slots;
+}
+
 double estimated_load(known_server const& server, kernel::monotonic_time now)
 {
     std::chrono::duration<double> const age = now - server.report.sent_at;
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -142,6 +142,14 @@
 /// is not in an evacuated failure domain.
 [[nodiscard]] bool is_usable(server_table const& table, known_server const& server);
 
+/// @returns whether a request may be sent to the server now: it is not avoided after a failure, and
+/// its limit permits a request of this daemon.
+[[nodiscard]] bool is_open(known_server const& server, kernel::monotonic_time now);
+
+/// @returns the slots that can be used within the limit that the server names.
+/// @param run_seconds time in seconds for which a request occupies a slot.
+[[nodiscard]] double usable_slots(known_server const& server, double run_seconds);
+
 /// @returns the estimated number of running and waiting requests of all daemons at a server. The
 /// share of other daemons decays with the age of the report.
 [[nodiscard]] double estimated_load(known_server const& server, kernel::monotonic_time now);
--- a/tests/gateway/limit_fleet.hpp
+++ b/tests/gateway/limit_fleet.hpp
@@ -91,6 +91,8 @@
     void after(kernel::duration delay, action act);
     void after(host& of, kernel::duration delay, action act);
     void start(host& started);
+    void report_hosts_to(host& reader, bool is_complete);
+    void report_hosts();
     void send(host& sender, gateway::request_pointer const& request);
     void answer(host& sender, server& answering, gateway::request_pointer const& request);
     void call();
@@ -104,6 +106,7 @@
     std::map<std::string, server> m_servers;
     routing::routing_document m_document;
     std::map<std::string, std::vector<arrival>> m_arrivals;
+    std::uint64_t m_reports = 0;
     std::uint64_t m_requests = 0;
     std::uint64_t m_served = 0;
 };
