platform: Let one odd entry of the store cost only itself

Cause: a page of a list or a watch was read as one JSON text. An entry of another writer that is nested deeper than 32 levels, or holds text that is no UTF-16 or UTF-8, made the page unreadable; the reader took that for an outage and asked for the same page for ever. A port out of range and a number too large were refused entry by entry before. An entry without a readable name is passed over, also where the next page begins. An exception of the standard library while an entry is decoded counts as unreadable too, so that it cannot end the process.

--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -1,5 +1,6 @@
 #include "libraries/object_store/object_store.hpp"
 
+#include <algorithm>
 #include <array>
 #include <exception>
 
@@ -66,10 +67,16 @@
             return read;
         if (after.empty())
             result.revision = read.revision;
+        auto const last_named = std::find_if(read.objects.rbegin(),
+                                             read.objects.rend(),
+                                             [](object const& listed)
+                                             {
+                                                 return !listed.name.empty();
+                                             });
         // A page that claims to be followed by others, but names no object, would repeat for ever.
-        has_more = has_more && !read.objects.empty();
+        has_more = has_more && last_named != read.objects.rend();
         if (has_more)
-            after = read.objects.back().name;
+            after = last_named->name;
         for (auto& object : read.objects)
             result.objects.push_back(std::move(object));
     }
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -7,6 +7,7 @@
 #include "plugins/discovery/rhythm.hpp"
 
 #include <algorithm>
+#include <exception>
 
 namespace pistachiohub::discovery
 {
@@ -31,7 +32,7 @@
 void log_unreadable(kernel::daemon_context& context,
                     std::string_view kind,
                     object_store::object const& read,
-                    kernel::error const& failure)
+                    std::exception const& failure)
 {
     context.own_metrics()
         .find_counter("pistachiohub_discovery_unreadable_objects_total", {"kind", kind})
@@ -67,8 +68,8 @@
                            {"unreadable_parts", parts.size()}});
 }
 
-/// Makes a feed that decodes each object by `decode`, which may throw kernel::error. An object that
-/// cannot be read counts as absent; the others hold.
+/// Makes a feed that decodes each object by `decode`, which may throw. An object that cannot be
+/// read counts as absent; the others hold.
 template<class Record, class Decode>
 std::unique_ptr<kernel::duty> make_feed(kernel::daemon_context& context,
                                         std::string_view kind,
@@ -86,7 +87,8 @@
                 if (!object.is_removed)
                     changed.record = decode(object);
             }
-            catch (kernel::error const& failure)
+            // Whatever another writer has left must not end the duty, and with it the process.
+            catch (std::exception const& failure)
             {
                 log_unreadable(context, kind, object, failure);
             }
--- a/tests/platform/metadata_store_test.cpp
+++ b/tests/platform/metadata_store_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/documents.hpp"
 #include "platform/metadata_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -60,6 +61,50 @@
     CHECK(replaced.body == R"({"metadata":{"name":"h-1","revision":9},"spec":{"a":1}})");
 }
 
+// Guards against one odd entry that makes the whole list or watch unreadable, so that no daemon
+// follows any server any more, and none gets ready.
+TEST_CASE_METHOD(metadata_store_fixture, "metadata_store_odd_entry_costs_only_itself", "[platform]")
+{
+    constexpr std::size_t levels = 100'000;
+    auto const odd = GENERATE(std::string(R"("caf\ud83d")"),
+                              std::string(R"({"slots": 1e999})"),
+                              std::string(R"({"text": "\x)") + "\xff\"}",
+                              std::string("{\"text\": \"\x01\xc3\"}"),
+                              std::string("{broken: []}"),
+                              "[" + std::string(40, '[') + std::string(40, ']') + "]",
+                              std::string(levels, '[') + std::string(levels, ']'));
+    auto const entry = [](std::string const& name, std::string const& spec)
+    {
+        return R"({"metadata": {"name": ")" + name + R"(", "revision": 4}, "spec": )" + spec +
+               R"(, "status": {"b": 2}})";
+    };
+    auto const good = entry("i-1", R"({"a": "]}\"{["})");
+    auto const listed = m_dialect.decode_list(R"({"items": [)" + entry("i-0", odd) + "," + good +
+                                              R"(], "has_more": false, "at": 530})");
+    REQUIRE(listed.objects.size() == 2);
+    CHECK(listed.objects[0].name == "i-0");
+    CHECK_THROWS_AS(platform::decode_backend_server(listed.objects[0]), interface::document_error);
+    CHECK(listed.objects[1].value == R"({"a":"]}\"{["})");
+    auto const changed = m_dialect.decode_changes(
+        R"({"events": [{"deleted": false, "object": )" + entry("i-0", odd) +
+        R"(}, {"deleted": false, "object": )" + good + R"(}], "at": 533})");
+    REQUIRE(changed.objects.size() == 2);
+    CHECK_THROWS_AS(platform::decode_backend_server(changed.objects[0]), interface::document_error);
+    CHECK(changed.objects[1].name == "i-1");
+}
+
+TEST_CASE_METHOD(metadata_store_fixture,
+                 "metadata_store_odd_name_costs_only_its_entry",
+                 "[platform]")
+{
+    auto const listed = m_dialect.decode_list(
+        R"({"items": [{"metadata": {"name": "\ud83d", "revision": 3}, "spec": {}},
+            {"metadata": {"name": "i-1", "revision": 4}, "spec": {"a": 1}}], "at": 530})");
+    REQUIRE(listed.objects.size() == 2);
+    CHECK(listed.objects[0].name.empty());
+    CHECK(listed.objects[1].name == "i-1");
+}
+
 // A write whose answer is an unknown server error may have taken effect; a 503 did nothing.
 TEST_CASE_METHOD(metadata_store_fixture, "metadata_store_status_says_what_is_proven", "[platform]")
 {
