gateway: Use no connection again after a refusal that names no request

Cause: a refusal may lack the request's id. A faulty server that writes one once more on a kept connection answers the next request with it, and the gateway took that for the proof that the next request had not run. Change: a connection is given up after a refusal without an id, so that no later copy of it can stand where another answer is due. Refusals with an id are told apart by it, as before. The project's own interface had the same fault and the same change. Ruled out: taking each refusal without an id on a used connection as unproven, since overloaded servers refuse that way and their requests could not be sent elsewhere any more.

--- a/plugins/backend/server_exchange.cpp
+++ b/plugins/backend/server_exchange.cpp
@@ -115,8 +115,11 @@
     void finish(exchange_end end, server_answer&& answer = {})
     {
         auto const report = std::exchange(m_report, nullptr);
+        // A late copy of a refusal that names no request could not be told from the answer to the
+        // next one.
+        bool const is_identified = answer.not_started.empty() || !answer.request_id.empty();
         // A connection that carried a late answer is closed, whatever its state.
-        if (end == exchange_end::answered && !m_is_late)
+        if (end == exchange_end::answered && !m_is_late && is_identified)
             m_pool->give_back(std::move(m_connection));
         end_quietly();
         report(end, std::move(answer));
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -436,9 +436,13 @@
         return start_message();
     received.body = std::move(answer_parser->get().body());
     answer_parser.reset();
+    // A refusal need not name its request. A late copy of one could not be told from the answer to
+    // the next request.
+    bool const is_identified = !find_header_value(received.headers, names.request_id).empty();
     // The next answer could not be identified reliably on a connection with extra bytes after this
     // answer, or whose answer arrived before the request was completely written.
-    may_reuse = is_kept && is_request_written && buffer.size() == 0 && skipped_answers == 0;
+    may_reuse = is_kept && is_identified && is_request_written && buffer.size() == 0 &&
+                skipped_answers == 0;
     keep_alive = parse_keep_alive(find_header_value(received.headers, "Keep-Alive"));
     finish(meaning == message_meaning::not_started ? attempt_result::not_started
                                                    : attempt_result::answered,
--- a/tests/backend/backend_duty_test.cpp
+++ b/tests/backend/backend_duty_test.cpp
@@ -187,6 +187,23 @@
     CHECK(result().answer == "two");
 }
 
+// Guards against a late copy of a refusal without an id that is taken for the answer to the next
+// request, which a server may be running.
+TEST_CASE_METHOD(backend_fixture,
+                 "backend_connection_with_unidentified_refusal_is_not_reused",
+                 "[backend]")
+{
+    start();
+    dispatch("a");
+    auto first = accept_request();
+    first.send(refusal);
+    CHECK(end() == attempt_end::refused);
+    dispatch("b");
+    auto second = accept_request();
+    second.send(answer_to("b", "two"));
+    CHECK(end() == attempt_end::answered);
+}
+
 TEST_CASE_METHOD(backend_fixture,
                  "backend_stale_idle_connection_is_replaced",
                  "[backend][concurrent]")
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -139,6 +139,43 @@
     CHECK_FALSE(next.receive_message().empty());
 }
 
+// Guards against a late copy of a refusal without an id that is taken for the answer to the next
+// request on the connection: its caller would be told that it did not run while it runs.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_connection_with_unidentified_refusal_is_not_reused",
+                 "[gateway]")
+{
+    std::string const refusal =
+        "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto first = m_server.accept();
+    REQUIRE_FALSE(first.receive_message().empty());
+    first.send(refusal);
+    CHECK(has_status(caller.receive_message(), "503"));
+    caller.send(post("c", "d"));
+    auto second = m_server.accept();
+    REQUIRE_FALSE(second.receive_message().empty());
+    CHECK(first.is_closed_by_peer());
+    second.send(answer_to("c", "right"));
+    CHECK(caller.receive_message().ends_with("right"));
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_connection_with_identified_refusal_is_reused",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("HTTP/1.1 503 Busy\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    CHECK(has_status(caller.receive_message(), "503"));
+    caller.send(post("c", "d"));
+    CHECK(server.receive_message().starts_with("POST /o/c "));
+}
+
 TEST_CASE_METHOD(gateway_fixture, "gateway_connection_with_extra_bytes_is_not_reused", "[gateway]")
 {
     auto caller = connect();
