gateway: Tell a broken answer from a request that ran in an earlier send

Cause: a stream that ended was framed as whole if the request was proven to have run. An earlier send that was answered with 500 proves that, while the body of a later send broke off. Change: whether the answer to the last send is whole is a fact of its own; that the request ran still decides the settlement. Looked for elsewhere: a head that stops at any byte and closes was told from a whole one before this commit too (gateway_answer_with_a_torn_head_is_not_delivered, each third byte, also behind an interim answer); it stays as a guard. Measured: the test cases of [gateway] pass.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -341,6 +341,7 @@
 void dispatcher::send(request_pointer const& request, kernel::monotonic_time now)
 {
     request->state = request_state::running;
+    request->is_answer_whole = false;
     request->sent_at = now;
     ++request->sends;
     request->tried_servers.push_back(request->server->record.id);
@@ -435,6 +436,7 @@
         if (!is_error(end.received.status))
             record_answer_of_suspect(*request, end.received.status, now);
         request->is_run_proven = true;
+        request->is_answer_whole = true;
         // The time of a large answer depends on how fast its caller reads.
         auto const run_seconds =
             seconds_value(request->stream_began_at.value_or(now) - request->sent_at).count();
@@ -631,7 +633,7 @@
     if (!request->stream_began_at)
         return m_actions.reply(request, std::move(response));
     // The caller has the head of the backend server's answer, so a refusal has no place any more.
-    m_actions.end_stream(request, request->is_run_proven);
+    m_actions.end_stream(request, request->is_answer_whole);
 }
 
 void dispatcher::end_expired(kernel::monotonic_time now)
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -75,8 +75,11 @@
     std::optional<kernel::monotonic_time> stream_began_at;
     /// Whether a backend server may have run the request.
     bool may_have_run = false;
-    /// Whether an answer of a backend server proves that the request ran.
+    /// Whether an answer of a backend server proves that the request ran, in the last send or an
+    /// earlier one.
     bool is_run_proven = false;
+    /// Whether the answer to the last send was received whole.
+    bool is_answer_whole = false;
 };
 
 using request_pointer = std::shared_ptr<gateway_request>;
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -449,6 +449,32 @@
     CHECK(m_settled.find(request->id)->second == outcome::unresolved);
 }
 
+// Guards against an answer that broke off and is framed as whole because an earlier send of the
+// request has run: that it ran says nothing of the second answer's body.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_broken_stream_after_a_failed_run_is_incomplete",
+                 "[gateway]")
+{
+    add_server("b-1");
+    add_server("b-2");
+    auto const request = begin("/i/1");
+    end(request, gateway::attempt_result::answered, 500);
+    REQUIRE(m_sent.size() == 2);
+    m_dispatcher->stream_began(*request, m_now);
+    SECTION("the connection to the server breaks")
+    {
+        end(request, gateway::attempt_result::broken);
+    }
+    SECTION("the deadline passes")
+    {
+        m_now += std::chrono::seconds(2);
+        m_dispatcher->tick(m_now);
+    }
+    REQUIRE(m_ended_streams.count(request->number) == 1);
+    CHECK_FALSE(m_ended_streams[request->number]);
+    CHECK(m_settled.find(request->id)->second == outcome::ran);
+}
+
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_whole_stream_is_settled_as_run", "[gateway]")
 {
     add_server("b-1");
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -110,6 +110,41 @@
     CHECK(has_status(caller.receive_message(), "502"));
 }
 
+// Guards against an answer whose head ends in the middle and that is delivered as a whole one with
+// an empty or short body: no byte at which a server may stop makes a head complete.
+TEST_CASE_METHOD(gateway_fixture, "gateway_answer_with_a_torn_head_is_not_delivered", "[gateway]")
+{
+    constexpr std::size_t step = 3;
+    auto const interim = GENERATE(std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n"));
+    auto const whole = interim + "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n" +
+                       "X-Response-Signature: s\r\nContent-Length: 4\r\n\r\nbody";
+    // A request with an id, so that each connection to the server is either its own or a check.
+    auto const accept_request = [this]()
+    {
+        while (true)
+        {
+            auto connection = m_server.accept();
+            if (!connection.receive_message().empty())
+                return connection;
+        }
+    };
+    for (std::size_t length = 0; length < whole.size(); length += step)
+    {
+        auto caller = connect();
+        caller.send(post("a", "b"));
+        auto server = accept_request();
+        server.send(whole.substr(0, length));
+        server.close();
+        INFO(length << " bytes");
+        CHECK(has_status(caller.receive_message(), "502"));
+        // A success, after which the next request is not held back by the failure.
+        auto next_caller = connect();
+        next_caller.send(post("a", "b"));
+        accept_request().send(whole);
+        CHECK(has_status(next_caller.receive_message(), "200"));
+    }
+}
+
 TEST_CASE_METHOD(gateway_fixture,
                  "gateway_answer_that_ends_with_its_connection_is_delivered",
                  "[gateway]")
