gateway: Keep the crash reports of repeated suspects

Callers saw: nothing; where many servers crash at once, a host could drop the reports of a request that crashes servers before the other hosts had read them (BUDGET). Cause: a host publishes 32 reports and dropped the oldest first. One crash makes suspects of all requests that were running there. Evidence: crash_report_of_a_repeated_suspect_outlives_single_ones fails on the commit before and passes now. Measured: the test cases of [gateway] and [retry] pass.

--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -28,8 +28,16 @@
 void add_own_report(crash_watch& state, fleet::crash_report report, kernel::monotonic_time now)
 {
     state.own_reports.push_back({std::move(report), now + retry::quarantine_time});
-    if (state.own_reports.size() > max_crash_reports)
-        state.own_reports.pop_front();
+    if (state.own_reports.size() <= max_crash_reports)
+        return;
+    auto const single = std::find_if(
+        state.own_reports.begin(),
+        state.own_reports.end(),
+        [&state, now](auto const& own)
+        {
+            return retry::counted_servers(state.suspects, own.first.fingerprint, now) <= 1;
+        });
+    state.own_reports.erase(single == state.own_reports.end() ? state.own_reports.begin() : single);
 }
 
 // Returns whether this host is one of those that publish the quarantine.
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -32,8 +32,8 @@
 /// request.
 inline constexpr auto crash_detection_window = std::chrono::seconds(4);
 
-/// Maximum number of own crash reports that are published to other daemons; the oldest is dropped
-/// first.
+/// Maximum number of own crash reports that are published to other daemons. The oldest one of a
+/// request that was running at a single crash is dropped first.
 inline constexpr std::size_t max_crash_reports = 32;
 
 /// Maximum number of quarantines that are published to other daemons; those that end last.
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -405,6 +405,31 @@
     CHECK(state.suspects.suspicions.empty());
 }
 
+// Load pattern: many servers crash at the same moment for another reason, and all requests that
+// were running there become suspects. Their reports must not push out those of a request that has
+// been running at several crashes, before the other hosts have read them.
+TEST_CASE("crash_report_of_a_repeated_suspect_outlives_single_ones", "[gateway]")
+{
+    constexpr std::uint64_t repeated = 1'000'000;
+    gateway::crash_watch state;
+    for (auto const* const server : {"i-1", "i-2"})
+    {
+        gateway::add_pending_break(state, repeated, server, start);
+        gateway::record_crash(state, server, start);
+    }
+    for (std::uint64_t number = 0; number < 2 * gateway::max_crash_reports; ++number)
+        gateway::add_pending_break(state, number, "i-3", start);
+    gateway::record_crash(state, "i-3", start);
+    auto const reports = gateway::collect_crash_knowledge(state, "host-1", {}).reports;
+    CHECK(reports.size() == gateway::max_crash_reports);
+    CHECK(std::count_if(reports.begin(),
+                        reports.end(),
+                        [](fleet::crash_report const& report)
+                        {
+                            return report.fingerprint == repeated;
+                        }) == 2);
+}
+
 // The limit holds for the whole fleet: no daemon sends the request after the third crash has been
 // reported, whichever daemons detected the crashes.
 TEST_CASE("crash_watch_any_order_of_reports_quarantines_at_the_third_server", "[gateway]")
