gateway: Remember the limit of a server whose registration lapses

Callers saw: nothing; a server in need could get its usual load for a moment after an outage of the store (LIMIT). A registration that lapses and returns made a new entry of the table without the limit, though the same process goes on. Change: limits of removed servers are kept by id, 256 at most, and hold again only for the same process. Evidence: dispatcher_limit_outlives_a_lapsed_registration fails on the commit before and passes now. Measured: the test cases of [gateway] pass.

--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -61,18 +61,33 @@
         table.by_service.erase(found);
 }
 
+void remember_limit(server_table& table, server_pointer const& server)
+{
+    if (table.removed_limited.size() >= max_removed_limited)
+        table.removed_limited.erase(table.removed_limited.begin());
+    table.removed_limited.insert_or_assign(server->record.id, server);
+}
+
 void remove_server(server_table& table, std::string const& id, table_change& change)
 {
     auto const found = table.servers.find(id);
     if (found == table.servers.end())
         return;
     found->second->is_removed = true;
+    if (found->second->limit)
+        remember_limit(table, found->second);
     remove_from_service(table, found->second);
     table.by_hash.erase(found->second->hash);
     table.servers.erase(found);
     change.removed_or_leaving.push_back(id);
 }
 
+bool is_new_incarnation(known_server const& server, fleet::backend_server const& record)
+{
+    return server.record.started_at_ms != record.started_at_ms ||
+           server.record.service != record.service || server.record.address != record.address;
+}
+
 void add_server(server_table& table, fleet::backend_server const& record, table_change& change)
 {
     auto server = std::make_shared<known_server>();
@@ -82,18 +97,15 @@
     auto const region = table.region_of_domain.find(record.failure_domain);
     if (region != table.region_of_domain.end())
         server->region = region->second;
+    if (auto const removed = table.removed_limited.extract(record.id);
+        !removed.empty() && !is_new_incarnation(*removed.mapped(), record))
+        server->limit = removed.mapped()->limit;
     table.servers.emplace(record.id, server);
     table.by_hash.emplace(server->hash, server);
     table.by_service[record.service].push_back(server);
     change.added.push_back(record.id);
 }
 
-bool is_new_incarnation(known_server const& server, fleet::backend_server const& record)
-{
-    return server.record.started_at_ms != record.started_at_ms ||
-           server.record.service != record.service || server.record.address != record.address;
-}
-
 void upsert(server_table& table,
             events::change<fleet::backend_server> const& item,
             table_change& change,
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -101,12 +101,18 @@
     routing::text_map<std::vector<server_pointer>> by_service;
     std::unordered_map<std::uint64_t, server_pointer> by_hash;
     std::set<std::string, std::less<>> evacuated_domains;
+    /// Limited servers that were removed, by id. The registration of a server that lost the store
+    /// lapses and returns while the server runs on.
+    routing::text_map<server_pointer> removed_limited;
     /// When the store became reachable again after an outage.
     std::optional<kernel::monotonic_time> store_recovered_at;
     /// Whether a complete list of the registered servers has been read.
     bool is_loaded = false;
 };
 
+/// Maximum number of removed servers whose limits are remembered.
+inline constexpr std::size_t max_removed_limited = 256;
+
 /// Time after a store outage within which servers renew registrations that expired during it.
 inline constexpr auto expired_entry_grace = std::chrono::milliseconds(2200);
 
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -556,4 +556,27 @@
     CHECK(refused == requests - sent);
 }
 
+// Guards against a limit that is forgotten when the registration of the server lapses and returns,
+// as after an outage of the store. Another process under the same id has named none.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_limit_outlives_a_lapsed_registration", "[gateway]")
+{
+    add_server("b-1", "sve-a", 10);
+    auto const request = begin("/i/1");
+    REQUIRE(m_sent.size() == 1);
+    interface::server_notice notice;
+    notice.max_requests_per_second = 0;
+    m_dispatcher->server_notice_received(*request, notice, m_now);
+    end(request, gateway::attempt_result::answered);
+    remove_server("b-1");
+    add_server("b-1", "sve-a", 10);
+    begin("/i/2");
+    CHECK(m_sent.size() == 1);
+    auto record = m_dispatcher->servers().servers.at("b-1")->record;
+    ++record.started_at_ms;
+    m_dispatcher->apply(
+        events::store_update<fleet::backend_server>{false, 5, {{record.id, 5, record}}}, m_now);
+    begin("/i/3");
+    CHECK(m_sent.size() >= 2);
+}
+
 } // namespace pistachiohub
