--- a/plugins/gateway/rate_limit.hpp
+++ b/plugins/gateway/rate_limit.hpp
@@ -47,9 +47,9 @@
 
 /// Splits the limit of a server.
 ///
-/// Invariant: if all daemons know the same hosts, they send the server at most
-/// `max(limit, check_rate) * t + 2 * limit + 2` requests in any time `t`, where check_rate is the
-/// rate of all checks, in the mean of the checks.
+/// Invariant: if all daemons know the same hosts, the regular senders together send at most
+/// `limit * t + 2 * limit + 2` requests in any time `t`, and all checks come at a tenth of the
+/// limit on average, but at least one in four seconds.
 /// @param limit requests a second from all daemons together.
 /// @param server_id id of the server.
 /// @param own name of this host.
