tests: Answer the last writes of a settlement on closing connections

The test answers 503 on a connection that stays open, closes it and waits for three connections. The writer, which makes its three last steps without a pause, may use the connection again before it sees the close; that step then makes no new connection, and the test waits for one in vain. Change: the test's answer says that the connection closes. It demands the same three calls within the same time.

--- a/tests/store/settlement_writer_test.cpp
+++ b/tests/store/settlement_writer_test.cpp
@@ -148,7 +148,8 @@
     {
         auto connection = m_store.accept();
         REQUIRE_FALSE(connection.receive_message().empty());
-        answer(connection, "503 Service Unavailable", "{}");
+        // The connection is not kept, so that the next call is made on a new one.
+        answer(connection, "503 Service Unavailable\r\nConnection: close", "{}");
     }
     stopped.get();
     CHECK(kernel::monotonic_now() - begin < support::wait_limit);
