gateway: Reset a caller without chunks whose answer is cut by a stop

Callers would see: a caller that knows no chunks (HTTP/1.0) takes a part of a large answer for the whole of it, if the process ends, or gives up on the slow caller, before the caller has taken the rest. Cause: only end_stream(), for an answer that its server broke off, closed such a connection with a reset. All other ways to close it (slow reader, write error, end of the process) were orderly, which is the mark of a whole body. Asio clears SO_LINGER of a socket that is destroyed open, so the destructor closes it by itself now. Change: one place closes the socket, and resets it while a body that ends with the connection has not been written whole. Evidence: answer_stream_that_a_stop_cuts_resets_a_caller_without_chunks failed on the code before and passes. The slow reader has no test of its own: its limit is 10 s, and it closes in the same place. Also added, a guard for: answer_stream_that_breaks_after_a_failed_run_is_visibly_incomplete, thirteen ways to break off after a first send that was answered with 500.

--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -216,6 +216,8 @@
 
     ~session()
     {
+        // A socket that is destroyed open closes in an orderly way, whatever its options.
+        close_socket();
         release(m_held_bytes);
         m_shared->sessions.erase(this);
     }
@@ -290,12 +292,6 @@
             open->stream->pending += stream_end(open->stream->framing);
             return write();
         }
-        // An orderly close would look like the end of a body that ends with its connection.
-        if (open->stream->framing == stream_framing::connection)
-        {
-            error_code ignored;
-            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        }
         abandon("answer_broke_off");
     }
 
@@ -551,7 +547,10 @@
         if (!std::exchange(stream.is_head_sent, true))
         {
             if (stream.framing == stream_framing::connection)
+            {
                 m_is_last = true;
+                m_is_close_delimited = true;
+            }
             text += serialize_stream_head(*front.response, stream.framing, stream.length, is_last);
         }
         text += std::exchange(stream.pending, {});
@@ -661,7 +660,16 @@
             return;
         m_is_last = true;
         m_shared->count_closed(cause);
+        close_socket();
+    }
+
+    void close_socket()
+    {
         error_code ignored;
+        // An orderly close before the end of a body that ends with its connection would look like
+        // that end.
+        if (m_is_close_delimited && !m_is_lingering)
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
         m_socket.close(ignored);
     }
 
@@ -683,6 +691,8 @@
     /// The connection closes after the answers that are due; no further request is read.
     bool m_is_last = false;
     bool m_is_lingering = false;
+    /// The body of the last answer ends with the connection.
+    bool m_is_close_delimited = false;
     /// The read was cancelled to close the connection, unless it has read something.
     bool m_is_closing_unused = false;
 };
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -75,6 +75,20 @@
     return message.substr(message.find("\r\n\r\n") + 4);
 }
 
+/// How an answer in parts breaks.
+struct broken_answer
+{
+    std::string framing;
+    /// Bytes after the first half of the body.
+    std::string then;
+    enum
+    {
+        closes,
+        resets,
+        falls_silent
+    } end;
+};
+
 class answer_stream_fixture : public gateway_fixture
 {
 protected:
@@ -88,6 +102,18 @@
         return {std::move(caller), std::move(server)};
     }
 
+    /// Registers a further backend server at the same address.
+    void add_second_server()
+    {
+        fleet::backend_server server;
+        server.id = "i-2";
+        server.service = "s";
+        server.address = {"127.0.0.1", m_server.port()};
+        server.failure_domain = "sve-a";
+        server.slots = 8;
+        push(events::store_update<fleet::backend_server>{false, 2, {{server.id, 2, server}}});
+    }
+
     [[nodiscard]] double metric(std::string const& name) const
     {
         auto const text = fetch(m_settings.gateway->metrics.port, "/metrics");
@@ -171,6 +197,58 @@
     CHECK_FALSE(m_server.has_connection(100));
 }
 
+// Failure: a download whose first run failed and whose second answer broke off reached the caller
+// as a complete success. That the request ran was taken for proof that its answer is whole.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_breaks_after_a_failed_run_is_visibly_incomplete",
+                 "[gateway][concurrent]")
+{
+    auto const chunked = std::string("Transfer-Encoding: chunked\r\n");
+    auto const with_length = std::string("Content-Length: 540000\r\n");
+    auto const broken = GENERATE_COPY(
+        broken_answer{chunked, "", broken_answer::closes},
+        broken_answer{chunked, "", broken_answer::resets},
+        broken_answer{chunked, "", broken_answer::falls_silent},
+        broken_answer{chunked, "1000\r\npart of a chunk", broken_answer::closes},
+        broken_answer{chunked, "no chunk\r\n", broken_answer::falls_silent},
+        broken_answer{chunked, "5\r\ntoo long\r\n0\r\n\r\n", broken_answer::closes},
+        broken_answer{chunked, "0\r\nX-Trailer: without end\r\n", broken_answer::closes},
+        broken_answer{chunked, "HTTP/1.1 200 OK\r\n\r\n", broken_answer::closes},
+        broken_answer{with_length, "", broken_answer::closes},
+        broken_answer{with_length, "", broken_answer::resets},
+        broken_answer{with_length, "", broken_answer::falls_silent},
+        broken_answer{"", "", broken_answer::resets},
+        broken_answer{"", "", broken_answer::falls_silent});
+    INFO(broken.framing << broken.then << " end " << broken.end);
+    add_second_server();
+    auto [caller, first] = begin(get("a"));
+    first.send("HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: a\r\n"
+               "X-Response-Signature: s\r\nContent-Length: 0\r\n\r\n");
+    auto second = m_server.accept();
+    REQUIRE_FALSE(second.receive_message().empty());
+    auto const half = make_body(large_bytes / 2);
+    second.send(head_of("a", broken.framing) +
+                (broken.framing == chunked ? as_chunks(half, 7000) : half) + broken.then);
+    // What a reset overtakes is lost on the way.
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    if (broken.end == broken_answer::resets)
+        second.reset();
+    else if (broken.end == broken_answer::closes)
+        second.close();
+    auto const rest = caller.receive_rest();
+    REQUIRE(has_status(rest.bytes, "200"));
+    // Else the next answer would stand where the rest of this one is due.
+    CHECK(caller.is_closed_by_peer());
+    if (broken.framing == with_length)
+        CHECK(body_of(rest.bytes).size() < large_bytes);
+    else
+        CHECK_FALSE(read_chunks(body_of(rest.bytes)));
+}
+
 // A caller that knows no chunks takes the close for the end, so only a reset shows the fault.
 TEST_CASE_METHOD(answer_stream_fixture,
                  "answer_stream_that_breaks_off_resets_a_caller_without_chunks",
@@ -189,6 +267,38 @@
     CHECK(caller.receive_rest().is_reset);
 }
 
+// The same holds for a whole answer that its caller has not taken when the process ends.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_a_stop_cuts_resets_a_caller_without_chunks",
+                 "[gateway]")
+{
+    auto [caller, server] = begin("GET /i/a HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: a\r\n"
+                                  "X-Deadline-Ms: 3000\r\n\r\n");
+    server.send(head_of("a", "Transfer-Encoding: chunked\r\n"));
+    auto const part = as_chunks(make_body(65'536), 65'536);
+    auto const has_backlog = [this]()
+    {
+        return !support::eventually(
+            [this]()
+            {
+                return metric("pistachiohub_gateway_answer_bytes") == 0;
+            },
+            milliseconds(50));
+    };
+    // More than the caller's and the gateway's sockets hold, and less than pauses the server.
+    while (!has_backlog())
+        server.send(part);
+    server.send("0\r\n\r\n");
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return take_settled().size() == 1;
+        }));
+    m_running.reset();
+    m_gateway.reset();
+    CHECK(caller.receive_rest().is_reset);
+}
+
 TEST_CASE_METHOD(answer_stream_fixture,
                  "answer_stream_whose_caller_leaves_ends_the_run",
                  "[gateway]")
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include "kernel/plugin.hpp"
 #include "libraries/events/gateway_event.hpp"
+#include "libraries/events/store_command.hpp"
 #include "tests/support/duty_fixture.hpp"
 #include "tests/support/raw_connection.hpp"
 
@@ -13,6 +14,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <unistd.h>
 
@@ -33,7 +35,9 @@
                                       number);
 }
 
-inline kernel::settings make_gateway_settings()
+constexpr auto short_grace = milliseconds(1500);
+
+inline kernel::settings make_gateway_settings(milliseconds shutdown_grace)
 {
     kernel::settings own;
     own.name = "host-1";
@@ -51,7 +55,7 @@
     gateway.bounds.extra_retries = 60;
     // A fifth of the memory is available for requests.
     gateway.resources.memory_mb = 1;
-    gateway.bounds.shutdown_grace = milliseconds(1500);
+    gateway.bounds.shutdown_grace = shutdown_grace;
     return own;
 }
 
@@ -72,10 +76,15 @@
            "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-inline std::string get(std::string const& id, std::string const& more = "")
+inline std::string get_within(std::string const& id, int deadline_ms, std::string const& more = "")
 {
     return "GET /i/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
-           "\r\nX-Deadline-Ms: 3000\r\n" + more + "\r\n";
+           "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" + more + "\r\n";
+}
+
+inline std::string get(std::string const& id, std::string const& more = "")
+{
+    return get_within(id, 3000, more);
 }
 
 inline std::string post(std::string const& id, std::string const& body)
@@ -90,7 +99,7 @@
 class gateway_fixture
 {
 protected:
-    kernel::settings m_settings = make_gateway_settings();
+    kernel::settings m_settings;
     kernel::daemon_context m_context{m_settings, 1};
     kernel::mailbox<events::gateway_event>& m_events =
         m_context.shared<kernel::mailbox<events::gateway_event>>();
@@ -98,7 +107,8 @@
     std::unique_ptr<kernel::duty> m_gateway;
     std::unique_ptr<support::running_duty> m_running;
 
-    explicit gateway_fixture(bool has_store = true)
+    explicit gateway_fixture(bool has_store = true, milliseconds shutdown_grace = short_grace)
+        : m_settings(make_gateway_settings(shutdown_grace))
     {
         if (has_store)
             push_store();
@@ -159,6 +169,18 @@
         return support::connect_to(m_settings.gateway->callers.port);
     }
 
+    /// @returns the outcomes that wait for the settlement.
+    std::vector<events::settle_request> take_settled()
+    {
+        std::vector<events::settle_request> settled;
+        m_context.shared<kernel::mailbox<events::settle_request>>().drain(
+            [&settled](events::settle_request&& item)
+            {
+                settled.push_back(std::move(item));
+            });
+        return settled;
+    }
+
     /// @returns the gauge of bytes in unanswered requests.
     [[nodiscard]] double held_bytes() const
     {
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -142,6 +142,13 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
+void raw_connection::reset()
+{
+    linger const at_once{1, 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close();
+}
+
 bool raw_connection::receive_more()
 {
     std::array<char, 4096> bytes{};
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -48,6 +48,9 @@
 
     void close();
 
+    /// Closes the connection with a reset.
+    void reset();
+
 private:
     [[nodiscard]] bool receive_more();
 
