gateway: Send nothing that may outlast a planned stop

Cause, as reproduced: a stopping host took a request if three times the smoothed run time of its service fitted before the end. (1) That average is over all routes of the service: behind downloads of 0.4 s it tells nothing of fetches of 2.4 s, and it is 0 before the first answer. (2) The check was made on arrival only, and not again when a waiting request, or one to be sent once more, was sent later. (3) At the end of the grace the process ended with requests open: no answer, and no entry in the settlement. Ruled out: the time to read or write (the servers had the requests within 10 ms of their sending), and the settlement's last write, which starts after the cut. Change: service_end decides, before each send. A request is sent if its deadline or its route's timeout comes before the end, so that it cannot outlast the process. In the first 0.4 of the time it is also sent if twice the longest run of its route in the last one to two minutes fits; a route without a known run counts as too long. Everything else is refused at once with 503 (not run), which its caller may repeat at another host; a server's own error is handed on in place of a retry that has no time. At the end open requests are ended: 503 if they have not run, otherwise 502, and settled as unresolved. Why this works: after the first part nothing is sent on an estimate, so that what a host has seen of run times, or how long a server lets a request wait, no longer matters for what is sent late.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -55,8 +55,6 @@
 // Utilisation of the region's servers below which an object may use more of them. It is below the
 // threshold at which objects leave the region, so that copies do not drive them out.
 constexpr double spare_slots_threshold = 0.7;
-// Multiple of the smoothed run time within which most runs end, on cold servers too.
-constexpr int run_time_margin = 3;
 // Remaining time below which a request is not sent, because no backend server could answer in time.
 constexpr auto min_run_time = milliseconds(20);
 constexpr auto min_retry_after = milliseconds(100);
@@ -249,7 +247,7 @@
     m_deadlines.emplace(request->answer_deadline, request);
     m_deadlines.emplace(request->give_up_at, request);
     auto& state = state_of(request->service);
-    if (!can_end_in_service(state, now))
+    if (!can_end_in_service(*request, now))
         return refuse(request, refusal::leaving, now);
     if (!state.spill.is_started)
         start_spill_of(request->service, state, now);
@@ -259,13 +257,25 @@
     dispatch(request, now);
 }
 
-bool dispatcher::can_end_in_service(service_state const& state, kernel::monotonic_time now) const
+bool dispatcher::can_end_in_service(gateway_request const& request,
+                                    kernel::monotonic_time now) const
 {
-    if (!m_end_of_service)
+    if (!m_service_end)
         return true;
-    auto const expected =
-        std::chrono::duration_cast<kernel::duration>(seconds_value(state.smoothed_run_seconds));
-    return now + expected * run_time_margin < *m_end_of_service;
+    std::optional<kernel::duration> longest_run;
+    if (auto const state = m_services.find(request.service); state != m_services.end())
+    {
+        auto const& runs = state->second.runs_of_route;
+        if (auto const found = runs.find(request.route->name); found != runs.end())
+            longest_run = longest_recent_run(found->second, now);
+    }
+    return gateway::can_end_in_service(*m_service_end, request.answer_deadline, longest_run, now);
+}
+
+void dispatcher::record_run_of(gateway_request const& request, kernel::monotonic_time now)
+{
+    auto& history = state_of(request.service).runs_of_route[request.route->name];
+    record_run(history, now - request.sent_at, now);
 }
 
 void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
@@ -299,6 +309,11 @@
         refuse(request, refusal::quarantined, now);
         return false;
     }
+    if (!can_end_in_service(*request, now))
+    {
+        refuse(request, refusal::leaving, now);
+        return false;
+    }
     auto& state = state_of(request->service);
     auto const waited = seconds_value(now - request->arrived_at);
     auto const target = seconds_value(request->route->target_latency);
@@ -437,6 +452,7 @@
             record_answer_of_suspect(*request, end.received.status, now);
         request->is_run_proven = true;
         request->is_answer_whole = true;
+        record_run_of(*request, now);
         // The time of a large answer depends on how fast its caller reads.
         auto const run_seconds =
             seconds_value(request->stream_began_at.value_or(now) - request->sent_at).count();
@@ -472,7 +488,7 @@
         return false;
     if (request->sends >= request->route->most_attempts && result != attempt_result::never_sent)
         return false;
-    if (now + min_run_time >= request->answer_deadline)
+    if (now + min_run_time >= request->answer_deadline || !can_end_in_service(*request, now))
         return false;
     // A send that never reached a backend server adds no load, so it takes nothing from the budget.
     if (result == attempt_result::never_sent)
@@ -537,6 +553,7 @@
     bool const was_running = request->state == request_state::running;
     if (was_running)
     {
+        record_run_of(*request, now);
         m_actions.cancel(request);
         release_slot(request);
     }
@@ -657,15 +674,38 @@
         }
         if (now < request->answer_deadline)
             continue;
-        request->may_have_run = true;
-        m_actions.cancel(request);
-        release_slot(request);
-        auto response = make_refusal(refusal::timed_out, std::nullopt);
-        m_metrics
-            .find_counter("pistachiohub_gateway_refusals_total",
-                          {"reason", to_string(refusal::timed_out)})
-            .increment();
-        finish(request, std::move(response), to_string(refusal::timed_out), now);
+        give_up_run(request, refusal::timed_out, now);
+    }
+}
+
+void dispatcher::give_up_run(request_pointer const& request,
+                             refusal cause,
+                             kernel::monotonic_time now)
+{
+    request->may_have_run = true;
+    record_run_of(*request, now);
+    m_actions.cancel(request);
+    release_slot(request);
+    m_metrics.find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(cause)})
+        .increment();
+    finish(request, make_refusal(cause, std::nullopt), to_string(cause), now);
+}
+
+void dispatcher::end_service(kernel::monotonic_time now)
+{
+    // Each unanswered request has entries here. Ending one may end others of the same caller.
+    for (auto const& [deadline, weak] : std::exchange(m_deadlines, {}))
+    {
+        auto const request = weak.lock();
+        if (!request || request->state == request_state::ended)
+            continue;
+        if (request->state == request_state::running)
+        {
+            give_up_run(request, refusal::broken_off, now);
+            continue;
+        }
+        remove_waiting(request);
+        refuse(request, refusal::leaving, now);
     }
 }
 
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "plugins/gateway/retry_allowance.hpp"
 #include "plugins/gateway/server_choice.hpp"
 #include "plugins/gateway/server_table.hpp"
+#include "plugins/gateway/service_end.hpp"
 #include "plugins/gateway/spill.hpp"
 #include "plugins/gateway/weighted_round_robin.hpp"
 
@@ -65,6 +66,8 @@
     retry_allowance retries;
     /// Smoothed time from sending a request to its answer, in seconds; 0 before the first.
     double smoothed_run_seconds = 0;
+    /// Longest recent runs by route: the requests of one service may differ by far.
+    routing::text_map<run_history> runs_of_route;
     /// Requests of this daemon that are in flight at backend servers.
     std::size_t running = 0;
     /// Requests that wait for a slot, by priority and then in the order of arrival.
@@ -85,7 +88,11 @@
 
     /// Sets when the process ends. Requests that would not be answered before are refused, since a
     /// refusal can be repeated elsewhere at once and a run that is cut off cannot.
-    void set_end_of_service(kernel::monotonic_time end);
+    void set_service_end(service_end const& end);
+
+    /// Ends all requests when the process ends: those that have not run are refused, and the
+    /// callers of the others are told that the outcome is unknown.
+    void end_service(kernel::monotonic_time now);
 
     /// Applies changes read from the store.
     void apply(events::store_update<routing::routing_document> const& update);
@@ -189,9 +196,13 @@
     /// Finds the route of a request and sends, queues or refuses it.
     void admit(request_pointer const& request, kernel::monotonic_time now);
     void remove_waiting(request_pointer const& request);
-    /// @returns whether a request that starts now is expected to end before the process does.
-    [[nodiscard]] bool can_end_in_service(service_state const& state,
+    /// @returns whether a request that is sent now is expected to end before the process does.
+    [[nodiscard]] bool can_end_in_service(gateway_request const& request,
                                           kernel::monotonic_time now) const;
+    /// Records for how long a request has been running that has now ended or was given up.
+    void record_run_of(gateway_request const& request, kernel::monotonic_time now);
+    /// Ends a running request whose outcome stays unknown.
+    void give_up_run(request_pointer const& request, refusal cause, kernel::monotonic_time now);
     void
     start_spill_of(std::string const& service, service_state& state, kernel::monotonic_time now);
     /// Counts the request at the distance of its first choice of server.
@@ -281,7 +292,7 @@
     std::list<request_pointer> m_held;
     bool m_has_start_failed = false;
     /// Missing unless the process is about to end.
-    std::optional<kernel::monotonic_time> m_end_of_service;
+    std::optional<service_end> m_service_end;
     std::size_t m_open_requests = 0;
 };
 
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -61,9 +61,9 @@
     m_bounds = bounds;
 }
 
-void dispatcher::set_end_of_service(kernel::monotonic_time end)
+void dispatcher::set_service_end(service_end const& end)
 {
-    m_end_of_service = end;
+    m_service_end = end;
 }
 
 void dispatcher::apply(events::store_update<routing::routing_document> const& update)
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -338,7 +338,7 @@
                          finish_drain_when_idle();
                      });
         auto const serving = std::max<kernel::duration>(grace - shutdown_margin, accepting);
-        m_dispatcher.set_end_of_service(kernel::monotonic_now() + serving);
+        m_dispatcher.set_service_end(make_service_end(kernel::monotonic_now(), serving));
         m_loop.after(serving,
                      [this]()
                      {
@@ -366,6 +366,7 @@
                           "gateway",
                           "drain_finished",
                           {{"cause", cause}, {"open_requests", m_dispatcher.open_requests()}});
+        m_dispatcher.end_service(kernel::monotonic_now());
         m_context.finish_drain();
     }
 
--- /dev/null
+++ b/plugins/gateway/service_end.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+/// @file
+/// Planned stop: which requests a stopping process still sends to a backend server.
+
+#include "kernel/clock.hpp"
+
+#include <optional>
+
+namespace pistachiohub::gateway
+{
+
+/// Time for which a run that was measured counts at least.
+inline constexpr auto run_history_window = std::chrono::seconds(60);
+
+/// The longest runs of similar requests in the current time window and the one before.
+struct run_history
+{
+    kernel::monotonic_time window_began_at;
+    std::optional<kernel::duration> longest_in_window;
+    std::optional<kernel::duration> longest_before;
+};
+
+/// Records a run, or the part of a run that was seen before it was given up.
+/// @param run time from sending the request to the end of its answer.
+void record_run(run_history& history, kernel::duration run, kernel::monotonic_time now);
+
+/// @returns the longest run of the last one to two windows, or nothing if there was none.
+[[nodiscard]] std::optional<kernel::duration> longest_recent_run(run_history const& history,
+                                                                 kernel::monotonic_time now);
+
+/// Limits of a planned stop.
+struct service_end
+{
+    /// Until then, requests are accepted that are expected to be answered in time. Afterwards only
+    /// those are that cannot outlast the process.
+    kernel::monotonic_time estimates_until;
+    /// Requests without an answer at this time are ended.
+    kernel::monotonic_time answers_until;
+};
+
+/// @returns the limits of a stop that begins now.
+/// @param available time for which the process may go on serving.
+[[nodiscard]] service_end make_service_end(kernel::monotonic_time now, kernel::duration available);
+
+/// Decides whether a request that is sent now ends before the process does.
+/// @param answer_deadline time by which the request is answered in any case.
+/// @param longest_run the longest recent run of similar requests; nothing if none is known, which
+/// counts as too long.
+[[nodiscard]] bool can_end_in_service(service_end const& end,
+                                      kernel::monotonic_time answer_deadline,
+                                      std::optional<kernel::duration> const& longest_run,
+                                      kernel::monotonic_time now);
+
+} // namespace pistachiohub::gateway
