gateway: Count the grace period of a stop from the signal

Callers would see: requests cut without an answer at a stop (LOST), on a host that is too busy to notice the signal at once. Cause: the gateway learned of a stop by a message in its ring and measured the grace period from when it handled it. A message that found the ring full was dropped, so that the stop never began.

--- a/kernel/daemon_context.hpp
+++ b/kernel/daemon_context.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// What the kernel hands to each plug-in: settings, metrics and objects shared by type.
 
+#include "kernel/clock.hpp"
 #include "kernel/metrics.hpp"
 #include "kernel/settings.hpp"
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <typeindex>
 #include <unordered_map>
 #include <utility>
@@ -63,11 +65,13 @@
     /// Starts a graceful shutdown; idempotent and callable from any thread.
     void begin_drain()
     {
-        if (m_is_draining.exchange(true))
-            return;
         std::vector<std::function<void()>> listeners;
         {
             std::lock_guard const lock(m_mutex);
+            if (m_drain_began_at)
+                return;
+            m_drain_began_at = monotonic_now();
+            m_is_draining = true;
             listeners = m_drain_listeners;
         }
         for (auto const& notify : listeners)
@@ -88,6 +92,13 @@
         return m_is_draining.load();
     }
 
+    /// @returns when a graceful shutdown began, or nothing while none has.
+    [[nodiscard]] std::optional<monotonic_time> drain_began_at()
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_drain_began_at;
+    }
+
     /// Says that no request is in flight and all counters are flushed, so the process may exit.
     void finish_drain()
     {
@@ -107,6 +118,7 @@
     std::mutex m_mutex;
     std::unordered_map<std::type_index, std::shared_ptr<void>> m_shared;
     std::vector<std::function<void()>> m_drain_listeners;
+    std::optional<monotonic_time> m_drain_began_at;
     std::atomic<bool> m_is_draining{false};
     std::atomic<bool> m_is_drained{false};
 };
--- a/libraries/events/gateway_event.hpp
+++ b/libraries/events/gateway_event.hpp
@@ -50,7 +50,7 @@
     bool is_reachable = false;
 };
 
-/// A graceful shutdown began.
+/// A graceful shutdown began; wakes the gateway, which asks the kernel when it was.
 struct drain_begun
 {
 };
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -117,6 +117,7 @@
         context.on_drain(
             [this]()
             {
+                // If the ring is full, sweep() notices the drain.
                 static_cast<void>(m_events.try_push(events::drain_begun{}));
             });
     }
@@ -320,9 +321,13 @@
 
     void handle(events::drain_begun const&)
     {
-        m_is_draining = true;
+        if (std::exchange(m_is_draining, true))
+            return;
         m_dispatcher.hosts().own.is_leaving = true;
         m_caller_server.drain();
+        // The kill comes at the end of the grace period, however late the gateway begins its drain.
+        auto const now = kernel::monotonic_now();
+        auto const began_at = m_context.drain_began_at().value_or(now);
         auto const grace = m_settings.bounds.shutdown_grace;
         auto const accepting = std::chrono::duration_cast<milliseconds>(
             std::chrono::duration<double>(grace) * accepting_share_of_grace);
@@ -330,16 +335,18 @@
             kernel::log_level::info,
             "gateway",
             "drain_accepting",
-            {{"open_requests", m_dispatcher.open_requests()}, {"accepting_ms", accepting.count()}});
-        m_loop.after(accepting,
+            {{"open_requests", m_dispatcher.open_requests()},
+             {"accepting_ms", accepting.count()},
+             {"signal_ms_ago", std::chrono::duration_cast<milliseconds>(now - began_at).count()}});
+        m_loop.after(began_at + accepting - now,
                      [this]()
                      {
                          m_caller_server.stop_accepting();
                          finish_drain_when_idle();
                      });
         auto const serving = std::max<kernel::duration>(grace - shutdown_margin, accepting);
-        m_dispatcher.set_service_end(make_service_end(kernel::monotonic_now(), serving));
-        m_loop.after(serving,
+        m_dispatcher.set_service_end(make_service_end(began_at, serving));
+        m_loop.after(began_at + serving - now,
                      [this]()
                      {
                          finish_drain("time_is_up");
@@ -389,6 +396,8 @@
 
     void sweep()
     {
+        if (m_context.is_draining())
+            handle(events::drain_begun{});
         m_pool.sweep(kernel::monotonic_now());
         publish_relay(choose_relay(m_dispatcher.hosts(), kernel::monotonic_now()));
         auto const* const changed = m_reloaded_settings.get();
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -484,6 +484,35 @@
     CHECK(settled[0].result == outcome::unresolved);
 }
 
+// Guards against a grace period that a busy gateway counts from when it notices the signal: the
+// kill would come while it still takes requests. The notice itself may find the ring full.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_drain_ends_in_time_though_it_is_noticed_late",
+                 "[gateway]")
+{
+    bool const is_ring_full = GENERATE(false, true);
+    m_running.reset();
+    m_gateway.reset();
+    m_gateway = create_gateway(m_context);
+    push_store();
+    while (is_ring_full && m_events.try_push(events::store_contact{"other", true}))
+    {
+    }
+    m_context.begin_drain();
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    std::this_thread::sleep_for(milliseconds(1000));
+    m_running = std::make_unique<support::running_duty>(*m_gateway);
+    CHECK(support::eventually(
+        [this]()
+        {
+            return m_context.is_drained();
+        },
+        milliseconds(850)));
+    // A notice that was lost is made good by the next sweep only.
+    CHECK((is_ring_full || !m_server.has_connection(0)));
+}
+
 // A request that crosses the close of an unused connection stays unread: its caller sees that
 // nothing was taken from it, and may send it again.
 TEST_CASE_METHOD(gateway_fixture, "gateway_drain_closes_unused_connections", "[gateway]")
