gateway: Keep ids that are no text out of the settlement's JSON

Cause: the settlement lists requests of unknown outcome with the id as it was sent. The store client parses that text again when it writes it, Boost.JSON throws, and the exception ends the settlement's thread and with it the process.

--- a/libraries/identity/request_id.cpp
+++ b/libraries/identity/request_id.cpp
@@ -95,4 +95,34 @@
            id.unique;
 }
 
+std::string encode_callers_id(std::string_view id)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr std::string_view other_unreserved = "._~";
+    constexpr unsigned bits_per_digit = 4;
+    constexpr unsigned low_digit = 0xF;
+    std::string encoded;
+    encoded.reserve(id.size());
+    for (char const character : id)
+    {
+        if (is_unique_character(character) ||
+            other_unreserved.find(character) != std::string_view::npos)
+        {
+            encoded += character;
+            continue;
+        }
+        auto const byte = static_cast<unsigned char>(character);
+        encoded += '%';
+        encoded += digits[byte >> bits_per_digit];
+        encoded += digits[byte & low_digit];
+    }
+    return encoded;
+}
+
+std::optional<std::string_view> unique_part_of(std::string_view text)
+{
+    auto const parts = split_parts(text);
+    return parts ? std::optional(parts->back()) : std::nullopt;
+}
+
 } // namespace pistachiohub::identity
--- a/libraries/identity/request_id.hpp
+++ b/libraries/identity/request_id.hpp
@@ -49,4 +49,11 @@
 /// @returns the text form of `id`.
 [[nodiscard]] std::string to_string(request_id const& id);
 
+/// @returns an id that a caller chose as it is kept and shown: each byte other than `A-Z`, `a-z`,
+/// `0-9` and `-._~` becomes `%` and two hexadecimal digits. Different ids stay different.
+[[nodiscard]] std::string encode_callers_id(std::string_view id);
+
+/// @returns the unique part of the text form of an id, or nothing when there is none.
+[[nodiscard]] std::optional<std::string_view> unique_part_of(std::string_view text);
+
 } // namespace pistachiohub::identity
--- a/libraries/ledger/settlement_report.cpp
+++ b/libraries/ledger/settlement_report.cpp
@@ -131,12 +131,12 @@
 std::string_view describe_callers_id(std::string_view id,
                                      std::span<settlement_document const> settlements)
 {
+    auto const encoded = identity::encode_callers_id(id);
     for (auto const& settlement : settlements)
     {
         for (auto const& entry : settlement.unresolved)
         {
-            auto const known = identity::parse_request_id(entry.id);
-            if (known && known->unique == id)
+            if (identity::unique_part_of(entry.id) == encoded)
                 return "unresolved";
         }
     }
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -1,5 +1,7 @@
 #include "libraries/object_store/object_store.hpp"
 
+#include "kernel/log.hpp"
+
 #include <algorithm>
 #include <array>
 #include <exception>
@@ -129,8 +131,24 @@
                            std::uint64_t expected_version,
                            std::string_view value)
 {
-    return change(m_dialect.make_write(kind, name, expected_version, value),
-                  m_dialect.decode_written);
+    http::request wanted;
+    try
+    {
+        wanted = m_dialect.make_write(kind, name, expected_version, value);
+    }
+    // Nothing was sent. One value that cannot be written must not end the thread of its writer.
+    catch (std::exception const& failure)
+    {
+        kernel::log_event(kernel::log_level::error,
+                          "store",
+                          "value_not_writable",
+                          {{"kind", kind},
+                           {"name", name},
+                           {"bytes", value.size()},
+                           {"error", std::string_view(failure.what())}});
+        return {status::outage, 0};
+    }
+    return change(wanted, m_dialect.decode_written);
 }
 
 write_result
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -213,7 +213,8 @@
         settlement.id = {m_context.own_settings().name,
                          m_context.incarnation(),
                          static_cast<std::uint32_t>(epoch),
-                         request.id};
+                         // Header values are any bytes, and the settlement is JSON.
+                         identity::encode_callers_id(request.id)};
         settlement.service = request.service;
         settlement.result = result;
         if (m_settle_requests.try_push(std::move(settlement)))
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -599,6 +599,27 @@
     CHECK(settled[0].result == outcome::ran);
 }
 
+// Failure: a caller whose id is no text left, and the settlement that listed the id could not be
+// written any more.
+TEST_CASE_METHOD(gateway_fixture, "gateway_id_that_is_no_text_is_settled_as_text", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("k\xf6p-0"));
+    auto server = m_server.accept();
+    REQUIRE(server.receive_message().find("X-Attempt-Id: k\xf6p-0\r\n") != std::string::npos);
+    caller.close();
+    std::vector<events::settle_request> settled;
+    CHECK(support::eventually(
+        [&]()
+        {
+            settled = take_settled();
+            return !settled.empty();
+        }));
+    REQUIRE(settled.size() == 1);
+    CHECK(settled[0].id.unique == "k%F6p-0");
+    CHECK(settled[0].result == outcome::unresolved);
+}
+
 // Guards against a limit in the answers of a server that the gateway does not keep. The rule allows
 // one and a half times the limit and five requests in four seconds, from half a second after the
 // first such answer was passed on.
--- a/tests/libraries/request_id_test.cpp
+++ b/tests/libraries/request_id_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace pistachiohub
 {
 
@@ -17,6 +20,27 @@
     CHECK(identity::to_string(*id) == "host-1/1024/7/till_5-A");
 }
 
+// Failure: an id with bytes that are no text made the whole settlement unreadable.
+TEST_CASE("callers_id_is_kept_as_ascii_without_collision", "[identity]")
+{
+    CHECK(identity::encode_callers_id("till_5-A.~") == "till_5-A.~");
+    CHECK(identity::encode_callers_id("k\xf6p/0 %") == "k%F6p%2F0%20%25");
+    std::set<std::string> encoded;
+    for (unsigned byte = 0; byte <= 0xFF; ++byte)
+    {
+        auto const text = identity::encode_callers_id(std::string(1, static_cast<char>(byte)));
+        CHECK(std::all_of(text.begin(),
+                          text.end(),
+                          [](unsigned char character)
+                          {
+                              return character > ' ' && character < 0x7F && character != '/';
+                          }));
+        CHECK(encoded.insert(text).second);
+    }
+    CHECK(identity::unique_part_of("host-1/1024/7/k%F6p") == "k%F6p");
+    CHECK_FALSE(identity::unique_part_of("host-1/1024/7"));
+}
+
 TEST_CASE("request_id_invalid_text_is_refused", "[identity]")
 {
     auto const* const text = GENERATE("",
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -77,6 +77,16 @@
     CHECK(result.objects.size() == 2);
 }
 
+// Failure: one id of a caller that was no text ended the process in the thread that writes the
+// settlement.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_value_that_is_no_json_is_not_written",
+                 "[platform]")
+{
+    CHECK(m_client.write("settlements", "h-1", 0, "{\"id\": \"k\xf6p\"}").end == status::outage);
+    CHECK_FALSE(m_store.has_connection(0));
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store_client_torn_answer_is_an_outage",
                  "[platform][concurrent]")
