gateway: Estimate runs in a planned stop from successes only

Callers would see: a request cut at the end of a stop, because the only known run of its route had been ended early by its caller, or had failed at once. Cause: each end of a run was taken for a measure of how long runs last. Change: a run that failed or was given up can only lengthen what successful runs tell. Runs of routes that a configuration removes are forgotten, so that their number stays bounded. Evidence: planned_stop_takes_no_estimate_from_a_run_that_did_not_succeed fails in both sections with the condition of record_failed_run() taken out, and passes.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -272,10 +272,15 @@
     return gateway::can_end_in_service(*m_service_end, request.answer_deadline, longest_run, now);
 }
 
-void dispatcher::record_run_of(gateway_request const& request, kernel::monotonic_time now)
+void dispatcher::record_run_of(gateway_request const& request,
+                               bool has_succeeded,
+                               kernel::monotonic_time now)
 {
     auto& history = state_of(request.service).runs_of_route[request.route->name];
-    record_run(history, now - request.sent_at, now);
+    if (has_succeeded)
+        record_run(history, now - request.sent_at, now);
+    else
+        record_failed_run(history, now - request.sent_at, now);
 }
 
 void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
@@ -452,7 +457,7 @@
             record_answer_of_suspect(*request, end.received.status, now);
         request->is_run_proven = true;
         request->is_answer_whole = true;
-        record_run_of(*request, now);
+        record_run_of(*request, !is_error(end.received.status), now);
         // The time of a large answer depends on how fast its caller reads.
         auto const run_seconds =
             seconds_value(request->stream_began_at.value_or(now) - request->sent_at).count();
@@ -553,7 +558,7 @@
     bool const was_running = request->state == request_state::running;
     if (was_running)
     {
-        record_run_of(*request, now);
+        record_run_of(*request, false, now);
         m_actions.cancel(request);
         release_slot(request);
     }
@@ -683,7 +688,7 @@
                              kernel::monotonic_time now)
 {
     request->may_have_run = true;
-    record_run_of(*request, now);
+    record_run_of(*request, false, now);
     m_actions.cancel(request);
     release_slot(request);
     m_metrics.find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(cause)})
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -200,7 +200,8 @@
     [[nodiscard]] bool can_end_in_service(gateway_request const& request,
                                           kernel::monotonic_time now) const;
     /// Records for how long a request has been running that has now ended or was given up.
-    void record_run_of(gateway_request const& request, kernel::monotonic_time now);
+    void
+    record_run_of(gateway_request const& request, bool has_succeeded, kernel::monotonic_time now);
     /// Ends a running request whose outcome stays unknown.
     void give_up_run(request_pointer const& request, refusal cause, kernel::monotonic_time now);
     void
@@ -262,6 +263,7 @@
                                 std::string_view source);
     /// Publishes what this daemon knows of crashes, unless it has published just that.
     void publish_crashes();
+    void forget_runs_of_removed_routes();
     void log_added_server(std::string const& id);
     void log_lost_servers(std::vector<std::string> const& ids, std::string_view cause);
     [[nodiscard]] bool admit_cold_request(known_server& server, kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace pistachiohub::gateway
@@ -82,9 +84,23 @@
             continue;
         m_table = routing::make_routing_table(*object.record);
         m_round_robins.clear();
+        forget_runs_of_removed_routes();
     }
 }
 
+void dispatcher::forget_runs_of_removed_routes()
+{
+    std::unordered_set<std::string_view> names;
+    for (auto const& route : m_table->document.routes)
+        names.insert(route.name);
+    for (auto& [service, state] : m_services)
+        std::erase_if(state.runs_of_route,
+                      [&names](auto const& entry)
+                      {
+                          return !names.contains(entry.first);
+                      });
+}
+
 void dispatcher::log_lost_servers(std::vector<std::string> const& ids, std::string_view cause)
 {
     for (auto const& id : ids)
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -321,6 +321,11 @@
     }
 
     void handle(events::drain_begun const&)
+    {
+        begin_drain();
+    }
+
+    void begin_drain()
     {
         if (std::exchange(m_is_draining, true))
             return;
@@ -398,7 +403,7 @@
     void sweep()
     {
         if (m_context.is_draining())
-            handle(events::drain_begun{});
+            begin_drain();
         m_pool.sweep(kernel::monotonic_now());
         publish_relay(choose_relay(m_dispatcher.hosts(), kernel::monotonic_now()));
         auto const* const changed = m_reloaded_settings.get();
--- a/plugins/gateway/service_end.cpp
+++ b/plugins/gateway/service_end.cpp
@@ -34,6 +34,12 @@
     history.longest_in_window = std::max(history.longest_in_window.value_or(run), run);
 }
 
+void record_failed_run(run_history& history, kernel::duration run, kernel::monotonic_time now)
+{
+    if (longest_recent_run(history, now))
+        record_run(history, run, now);
+}
+
 std::optional<kernel::duration> longest_recent_run(run_history const& history,
                                                    kernel::monotonic_time now)
 {
--- a/plugins/gateway/service_end.hpp
+++ b/plugins/gateway/service_end.hpp
@@ -21,10 +21,14 @@
     std::optional<kernel::duration> longest_before;
 };
 
-/// Records a run, or the part of a run that was seen before it was given up.
+/// Records a run that succeeded.
 /// @param run time from sending the request to the end of its answer.
 void record_run(run_history& history, kernel::duration run, kernel::monotonic_time now);
 
+/// Records a run that failed or was given up. It tells that runs last at least so long, and nothing
+/// if no run is known that succeeded.
+void record_failed_run(run_history& history, kernel::duration run, kernel::monotonic_time now);
+
 /// @returns the longest run of the last one to two windows, or nothing if there was none.
 [[nodiscard]] std::optional<kernel::duration> longest_recent_run(run_history const& history,
                                                                  kernel::monotonic_time now);
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -89,6 +89,25 @@
     CHECK(m_settled.find(late->id)->second == outcome::not_run);
 }
 
+// A caller that leaves early, or a server that fails at once, tells nothing of how long runs take.
+TEST_CASE_METHOD(planned_stop_fixture,
+                 "planned_stop_takes_no_estimate_from_a_run_that_did_not_succeed",
+                 "[gateway]")
+{
+    auto const first = begin_long("/o/1");
+    advance(milliseconds(20));
+    SECTION("its caller left")
+    {
+        m_dispatcher->caller_gone(first, m_now);
+    }
+    SECTION("its server failed")
+    {
+        end(first, attempt_result::answered, 500);
+    }
+    begin_stop();
+    CHECK(status_of(begin_long("/o/2")) == http_unavailable);
+}
+
 TEST_CASE_METHOD(planned_stop_fixture,
                  "planned_stop_serves_what_ends_before_the_process",
                  "[gateway]")
@@ -238,6 +257,10 @@
     CHECK(gateway::longest_recent_run(history, next) == milliseconds(900));
     CHECK(gateway::longest_recent_run(history, next + run_history_window) == milliseconds(200));
     CHECK_FALSE(gateway::longest_recent_run(history, next + 2 * run_history_window));
+    gateway::record_failed_run(history, milliseconds(300), next);
+    CHECK(gateway::longest_recent_run(history, next) == milliseconds(900));
+    gateway::record_failed_run(history, milliseconds(1000), next);
+    CHECK(gateway::longest_recent_run(history, next) == milliseconds(1000));
 }
 
 } // namespace pistachiohub
