gateway: End late runs of a planned stop by their deadline

Cause: from 0.4 of the stop on, requests were refused unless their own deadline came first, however short the runs of their route are. A caller has few retries, and the next host may be stopping too. Change: the longest recent run of the route vouches for a request during the whole stop, and the deadline that its server gets lies 150 ms before the end of the process. A run that takes longer than expected is ended by its server, which says so, so that nothing that is sent during the stop outlasts the process. Ruled out: estimates late in the stop without that deadline, as one wrong estimate cuts a request that may not be repeated.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -373,7 +373,10 @@
     ++state_of(request->service).running;
     if (auto const crashes = counted_crashes(m_crashes, *request, now); crashes > 0)
         log_suspect_sent(*request, crashes, now);
-    auto const remaining = std::max<std::int64_t>(ms_between(now, request->answer_deadline), 1);
+    request->run_deadline = m_service_end
+                                ? run_deadline_in_service(*m_service_end, request->answer_deadline)
+                                : request->answer_deadline;
+    auto const remaining = std::max<std::int64_t>(ms_between(now, request->run_deadline), 1);
     m_actions.send(request, milliseconds(remaining));
 }
 
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -51,6 +51,8 @@
     /// Time at which the gateway answers at the latest: the route's timeout, or a margin before the
     /// caller's deadline if that is earlier.
     kernel::monotonic_time answer_deadline;
+    /// Time by which the backend server was told to answer in the last send.
+    kernel::monotonic_time run_deadline;
     /// Time at which the request is refused if it still waits.
     kernel::monotonic_time give_up_at;
     /// Time until which the caller waits, as it stated in its request.
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -79,7 +79,7 @@
         [this, request]()
         {
             auto const remaining = std::chrono::duration_cast<milliseconds>(
-                request->answer_deadline - kernel::monotonic_now());
+                request->run_deadline - kernel::monotonic_now());
             return serialize_request(request->message,
                                      m_names,
                                      request->server->record.id,
--- a/plugins/gateway/service_end.cpp
+++ b/plugins/gateway/service_end.cpp
@@ -11,9 +11,8 @@
 // Multiple of the longest recent run that a request is expected to last at most: it may wait in the
 // server's queue, or reach a slower server than the earlier ones.
 constexpr int run_margin = 2;
-// Share of the available time in which requests are accepted by an estimate. A run that takes far
-// longer than expected still has the rest of the time to end.
-constexpr double estimates_share = 0.4;
+// Time for an answer to arrive that the server sends at its deadline.
+constexpr auto answer_travel_time = std::chrono::milliseconds(150);
 
 void advance_window(run_history& history, kernel::monotonic_time now)
 {
@@ -51,9 +50,13 @@
 
 service_end make_service_end(kernel::monotonic_time now, kernel::duration available)
 {
-    auto const estimates = std::chrono::duration_cast<kernel::duration>(
-        std::chrono::duration<double>(available) * estimates_share);
-    return {now + estimates, now + available};
+    return {now + available - answer_travel_time, now + available};
+}
+
+kernel::monotonic_time run_deadline_in_service(service_end const& end,
+                                               kernel::monotonic_time answer_deadline)
+{
+    return answer_deadline < end.answers_until ? answer_deadline : end.runs_until;
 }
 
 bool can_end_in_service(service_end const& end,
@@ -63,9 +66,7 @@
 {
     if (answer_deadline < end.answers_until)
         return true;
-    if (now >= end.estimates_until || !longest_run)
-        return false;
-    return now + run_margin * *longest_run < end.answers_until;
+    return longest_run && now + run_margin * *longest_run < end.runs_until;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/service_end.hpp
+++ b/plugins/gateway/service_end.hpp
@@ -36,9 +36,8 @@
 /// Limits of a planned stop.
 struct service_end
 {
-    /// Until then, requests are accepted that are expected to be answered in time. Afterwards only
-    /// those are that cannot outlast the process.
-    kernel::monotonic_time estimates_until;
+    /// Time by which backend servers are told to answer.
+    kernel::monotonic_time runs_until;
     /// Requests without an answer at this time are ended.
     kernel::monotonic_time answers_until;
 };
@@ -47,6 +46,12 @@
 /// @param available time for which the process may go on serving.
 [[nodiscard]] service_end make_service_end(kernel::monotonic_time now, kernel::duration available);
 
+/// @returns the time by which a backend server is told to answer: a run that takes longer than
+/// expected is ended by its server, which answers, and not by the end of the process.
+/// @param answer_deadline time by which the request is answered in any case.
+[[nodiscard]] kernel::monotonic_time
+run_deadline_in_service(service_end const& end, kernel::monotonic_time answer_deadline);
+
 /// Decides whether a request that is sent now ends before the process does.
 /// @param answer_deadline time by which the request is answered in any case.
 /// @param longest_run the longest recent run of similar requests; nothing if none is known, which
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -469,6 +469,33 @@
     CHECK_FALSE(m_server.has_connection(0));
 }
 
+// A request of a route whose runs are short is served late in the stop, too. Its server is told to
+// answer before the process ends, so that one that takes longer after all is not cut.
+TEST_CASE_METHOD(long_stop_fixture,
+                 "gateway_drain_shortens_the_deadline_of_a_late_request",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", "bytes"));
+    REQUIRE(has_status(caller.receive_message(), "200"));
+    m_context.begin_drain();
+    std::this_thread::sleep_for(milliseconds(2200));
+    auto late = connect();
+    late.send(post("c", "d"));
+    auto second = m_server.accept();
+    auto const request = second.receive_message();
+    std::string const name = "X-Deadline-Ms: ";
+    auto const position = request.find(name);
+    REQUIRE(position != std::string::npos);
+    // The process serves for 3600 of the 4000 ms.
+    CHECK(std::stoi(request.substr(position + name.size())) < 1400);
+    second.send(answer_to("c", "late"));
+    CHECK(late.receive_message().ends_with("late"));
+}
+
 // Guards against requests that end with the process without an answer and in no settlement.
 TEST_CASE_METHOD(gateway_fixture, "gateway_drain_answers_what_is_open_at_its_end", "[gateway]")
 {
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -121,8 +121,14 @@
     advance(milliseconds(4500));
     begin("/o/3", "", milliseconds(1000));
     CHECK(m_sent.size() == sent + 2);
+    CHECK(m_sent.back()->run_deadline == m_sent.back()->answer_deadline);
+    // Runs of its route have been short, and its server ends it in time if this one is not.
     begin("/o/4", "", milliseconds(1300));
-    CHECK(m_sent.size() == sent + 2);
+    CHECK(m_sent.size() == sent + 3);
+    CHECK(m_sent.back()->run_deadline < m_now + milliseconds(1100));
+    advance(milliseconds(400));
+    begin("/o/5", "", milliseconds(1300));
+    CHECK(m_sent.size() == sent + 3);
 }
 
 TEST_CASE_METHOD(planned_stop_fixture,
@@ -153,7 +159,7 @@
     begin_stop();
     auto const request = begin_long("/i/2");
     auto const sent = m_sent.size();
-    advance(milliseconds(3000));
+    advance(milliseconds(4800));
     auto const [result, status, expected] =
         GENERATE(std::tuple(attempt_result::broken, 0U, http_bad_gateway),
                  std::tuple(attempt_result::not_started, http_unavailable, http_unavailable),
@@ -183,9 +189,11 @@
 }
 
 // Load pattern: a planned stop beside kinds of requests whose runs differ by ten times and spread,
-// and servers whose queues are full. No request that is sent in the second half outlasts the
-// process, and none is held until its deadline to be refused.
-TEST_CASE_METHOD(planned_stop_fixture, "planned_stop_cuts_nothing_that_was_sent_late", "[gateway]")
+// and servers that end a run at the deadline that they were told. No request that is sent during
+// the stop outlasts the process.
+TEST_CASE_METHOD(planned_stop_fixture,
+                 "planned_stop_cuts_nothing_that_was_sent_during_it",
+                 "[gateway]")
 {
     auto const seed = GENERATE(range(1U, 21U));
     INFO("seed " << seed);
@@ -218,7 +226,10 @@
             bool const is_short = request->route->name == "short";
             std::lognormal_distribution<double> spread(0, 0.3);
             auto const run_ms = (is_short ? 150 : 1800) * std::min(spread(random), 3.0);
-            running.push_back({request, m_now + milliseconds(static_cast<int>(run_ms))});
+            running.push_back(
+                {request,
+                 std::min<kernel::monotonic_time>(m_now + milliseconds(static_cast<int>(run_ms)),
+                                                  request->run_deadline)});
         }
         advance(step);
         for (auto const& one : std::exchange(running, {}))
@@ -233,13 +244,12 @@
         }
     }
     CHECK(served_in_stop > 100);
-    auto const late = stops_at + available / 2;
     CHECK(std::none_of(running.begin(),
                        running.end(),
-                       [late](run const& one)
+                       [stops_at](run const& one)
                        {
                            return one.request->state != gateway::request_state::ended &&
-                                  one.request->sent_at >= late;
+                                  one.request->sent_at >= stops_at;
                        }));
 }
 
