tests: Start the busy gateway late instead of making a second one

Cause: the test destroyed the fixture's gateway and made a second one in the same context, whose drain listener still named the first. A daemon destroys its duties only after its last drain could begin, so that the product has no such order. Change: the fixture can leave the gateway unstarted; the test starts it late and checks the same.

--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -107,13 +107,21 @@
     std::unique_ptr<kernel::duty> m_gateway;
     std::unique_ptr<support::running_duty> m_running;
 
-    explicit gateway_fixture(bool has_store = true, milliseconds shutdown_grace = short_grace)
+    explicit gateway_fixture(bool has_store = true,
+                             milliseconds shutdown_grace = short_grace,
+                             bool is_started = true)
         : m_settings(make_gateway_settings(shutdown_grace))
     {
         if (has_store)
             push_store();
         m_gateway = create_gateway(m_context);
         REQUIRE(m_gateway);
+        if (is_started)
+            start();
+    }
+
+    void start()
+    {
         m_running = std::make_unique<support::running_duty>(*m_gateway);
     }
 
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -20,6 +20,16 @@
 
 using namespace gateway_test;
 
+/// A gateway whose thread handles nothing before start().
+class busy_gateway_fixture : public gateway_fixture
+{
+protected:
+    busy_gateway_fixture()
+        : gateway_fixture(true, short_grace, false)
+    {
+    }
+};
+
 /// A gateway with time for a request of one second in a planned stop.
 class long_stop_fixture : public gateway_fixture
 {
@@ -513,15 +523,11 @@
 
 // Guards against a grace period that a busy gateway counts from when it notices the signal: the
 // kill would come while it still takes requests. The notice itself may find the ring full.
-TEST_CASE_METHOD(gateway_fixture,
+TEST_CASE_METHOD(busy_gateway_fixture,
                  "gateway_drain_ends_in_time_though_it_is_noticed_late",
                  "[gateway]")
 {
     bool const is_ring_full = GENERATE(false, true);
-    m_running.reset();
-    m_gateway.reset();
-    m_gateway = create_gateway(m_context);
-    push_store();
     while (is_ring_full && m_events.try_push(events::store_contact{"other", true}))
     {
     }
@@ -529,7 +535,7 @@
     auto caller = connect();
     caller.send(post("a", "b"));
     std::this_thread::sleep_for(milliseconds(1000));
-    m_running = std::make_unique<support::running_duty>(*m_gateway);
+    start();
     CHECK(support::eventually(
         [this]()
         {
