gateway: Log the parts of the fingerprint of a run that broke

Change: run_broken names the caller's address and hashes of target and body beside the fingerprint. It is bounded by the limiter of the request lines.

--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -244,6 +244,7 @@
                             kernel::monotonic_time now);
     void end_expired(kernel::monotonic_time now);
     void record_broken_send(gateway_request const& request, kernel::monotonic_time now);
+    void log_broken_run(gateway_request const& request, kernel::monotonic_time now);
     void check_server(server_pointer const& server);
     void record_answer_of_suspect(gateway_request const& request,
                                   unsigned status,
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -2,6 +2,7 @@
 /// The part of the dispatcher that applies updates: configurations, servers, evacuations and hosts
 /// from the store, results of crash checks, and the measured load of the servers.
 
+#include "plugins/gateway/affinity.hpp"
 #include "plugins/gateway/dispatcher.hpp"
 
 #include <algorithm>
@@ -181,6 +182,7 @@
 {
     auto const& server = request.server;
     add_pending_break(m_crashes, crash_fingerprint(request), incarnation_of(*server), now);
+    log_broken_run(request, now);
     if (server->is_probe_pending)
     {
         server->has_broken_during_probe = true;
@@ -190,6 +192,24 @@
     check_server(server);
 }
 
+// The hashes tell which part differs when equal requests get different fingerprints.
+void dispatcher::log_broken_run(gateway_request const& request, kernel::monotonic_time now)
+{
+    if (!m_request_log.admit(now))
+        return;
+    kernel::log_event(kernel::log_level::info,
+                      "gateway",
+                      "run_broken",
+                      {{"id", std::string_view(request.id)},
+                       {"fingerprint", crash_fingerprint(request)},
+                       {"caller", std::string_view(request.caller_address)},
+                       {"target_hash", hash_text(request.message.target)},
+                       {"body_hash", hash_text(request.message.body)},
+                       {"server", std::string_view(request.server->record.id)},
+                       {"server_version", request.server->version},
+                       {"suppressed", m_request_log.take_suppressed()}});
+}
+
 void dispatcher::check_server(server_pointer const& server)
 {
     server->is_probe_pending = true;
