tests: Play a crashing request that comes from changing addresses

Cause: the fingerprint of a request holds the caller's network address. A request that comes from another address is counted anew, so each address may end three servers. Ruled out: that the crashes are not seen; with one address the same fleet holds the bound (crashing_request_is_refused_by_the_whole_fleet).

--- a/tests/gateway/crash_fleet.cpp
+++ b/tests/gateway/crash_fleet.cpp
@@ -363,7 +363,8 @@
         auto request = std::make_shared<gateway::gateway_request>();
         request->number = ++m_requests;
         request->id = "id-" + std::to_string(request->number);
-        request->caller_address = "10.9.0.1";
+        request->caller_address =
+            "10.9.0." + std::to_string(m_plan.changes_address ? request->number : 1);
         request->message = {"POST", "/o/crash", {{"Host", "a.example"}}, "body"};
         request->arrived_at = m_now;
         request->caller_deadline = m_now + seconds(3);
--- a/tests/gateway/crash_fleet.hpp
+++ b/tests/gateway/crash_fleet.hpp
@@ -30,6 +30,8 @@
     double failing_part = 0;
     /// Servers restart under the id that they had.
     bool keeps_ids = false;
+    /// Each call comes from another network address.
+    bool changes_address = false;
 };
 
 /// A fleet in simulated time. All delays are drawn from the seed.
--- a/tests/gateway/crash_fleet_test.cpp
+++ b/tests/gateway/crash_fleet_test.cpp
@@ -75,6 +75,15 @@
     require_bound_holds(plan);
 }
 
+// Guards against a count of crashes for each network address of the caller, so that each address
+// ends three servers.
+TEST_CASE("crashing_request_is_refused_from_any_address", "[gateway]")
+{
+    gateway_test::crash_plan plan;
+    plan.changes_address = true;
+    require_bound_holds(plan);
+}
+
 // Guards against gaps between the counts when the disruptions above overlap.
 TEST_CASE("crashing_request_is_refused_under_overlapping_disruptions", "[gateway]")
 {
