gateway: Recognise a crashing request whatever address it comes from

Cause: the fingerprint of a request held the network address of its caller. The request came from many addresses in all regions; each address began a count of its own and could end three servers. Change: the fingerprint holds host name, method, target and body. The host name is new: equal targets of two host names are two requests. The check crash_fingerprint_tells_callers_targets_and_bodies_apart asked for the fault itself; it is replaced by one that asks for the opposite of the address and adds the host name, with as many parts told apart as before. Elsewhere: caller_address is used for nothing else. Ruled out: leaving the body or the target out, which would refuse requests that have crashed nothing. Conclusion: other callers that send the identical request are refused too.

--- a/plugins/gateway/crash_watch.cpp
+++ b/plugins/gateway/crash_watch.cpp
@@ -9,16 +9,18 @@
 
 std::uint64_t crash_fingerprint(gateway_request const& request)
 {
-    std::string text = request.caller_address;
-    for (std::string_view const part : {std::string_view(request.message.method),
-                                        std::string_view(request.message.target),
-                                        std::string_view(request.message.body)})
+    auto const& message = request.message;
+    std::string text;
+    for (std::string_view const part : {find_header_value(message.headers, "Host"),
+                                        std::string_view(message.method),
+                                        std::string_view(message.target),
+                                        std::string_view(message.body)})
     {
-        text += '\n';
         text += part;
+        text += '\n';
     }
-    // The route may move to another service, or be split between several, so the service is no part
-    // of the request's identity.
+    // The route may move to another service, or be split between several, and a caller may come
+    // from any address. Neither is part of the request's identity.
     return retry::fingerprint({}, text);
 }
 
--- a/plugins/gateway/crash_watch.hpp
+++ b/plugins/gateway/crash_watch.hpp
@@ -75,7 +75,7 @@
     std::map<std::uint64_t, std::uint64_t> quarantine_ends_ms;
 };
 
-/// @returns the fingerprint of a request: its caller, method, target and body.
+/// @returns the fingerprint of a request: its host name, method, target and body, whoever sends it.
 [[nodiscard]] std::uint64_t crash_fingerprint(gateway_request const& request);
 
 /// Records that the connection to the server broke while it handled the request.
--- a/tests/gateway/crash_watch_test.cpp
+++ b/tests/gateway/crash_watch_test.cpp
@@ -365,21 +365,26 @@
     CHECK(m_sent.size() == sent + 1);
 }
 
-TEST_CASE("crash_fingerprint_tells_callers_targets_and_bodies_apart", "[gateway]")
+// Guards against crashes that are counted for each address, service or attempt apart.
+TEST_CASE("crash_fingerprint_tells_only_hosts_methods_targets_and_bodies_apart", "[gateway]")
 {
     gateway::gateway_request one;
     one.service = "s";
     one.caller_address = "10.0.0.1";
-    one.message = {"POST", "/o/1", {{"X", "y"}}, "body"};
+    one.message = {"POST", "/o/1", {{"Host", "a.example"}, {"X", "y"}}, "body"};
     auto other = one;
-    other.message.headers.clear();
+    other.message.headers.pop_back();
     other.id = "another attempt";
     CHECK(gateway::crash_fingerprint(one) == gateway::crash_fingerprint(other));
     // The service depends on the configuration, not on the request.
     other.service = "t";
     CHECK(gateway::crash_fingerprint(one) == gateway::crash_fingerprint(other));
-    for (auto* const changed :
-         {&other.caller_address, &other.message.target, &other.message.body, &other.message.method})
+    other.caller_address = "10.0.0.2";
+    CHECK(gateway::crash_fingerprint(one) == gateway::crash_fingerprint(other));
+    for (auto* const changed : {&other.message.headers.front().value,
+                                &other.message.target,
+                                &other.message.body,
+                                &other.message.method})
     {
         auto const before = *changed;
         *changed += "x";
