gateway: Send nothing to a server whose answers say that it leaves

Cause: the notice was not read; the daemon knew of a leaving server from the store alone, which may be away, late or slow. A registration that says ready again, or lapses and returns, does not undo it, also when the answer comes after the lapse; a new incarnation starts without it. The memory of removed servers drops the oldest first now, because leaving servers pass through it all the time and would have pushed out any limit. Ruled out: to use a leaving server while no other one is left. The store's own notice is not handled so either, and a refusal lets callers come back. Before / after: gateway_server_that_says_it_leaves_gets_no_request failed on (the second request was sent) and passes. dispatcher_leaving_server_ is_used_again_only_after_a_restart needs the new field, so it was not run before. 71 tests of notices, limits and the dispatcher pass (release build). Hosts do not tell each other: each learns from its own answers.

--- a/libraries/interface/interface.hpp
+++ b/libraries/interface/interface.hpp
@@ -33,7 +33,9 @@
     /// Requests a second that the server takes from all entry hosts together; missing if it names
     /// no limit.
     std::optional<double> max_requests_per_second;
-    /// Whether the answer holds a notice that cannot be read. It says nothing then.
+    /// Whether the server says that it leaves and wants no further requests.
+    bool is_leaving = false;
+    /// Whether a part of the notice cannot be read. That part says nothing then.
     bool is_malformed = false;
 };
 
--- a/plugins/gateway/dispatcher_notices.cpp
+++ b/plugins/gateway/dispatcher_notices.cpp
@@ -11,6 +11,11 @@
                                         kernel::monotonic_time now)
 {
     auto& server = *request.server;
+    if (notice.is_leaving && record_leaving(m_servers, request.server))
+    {
+        m_metrics.find_counter("pistachiohub_gateway_leaving_notices_total").increment();
+        log_lost_servers({server.record.id}, "announced");
+    }
     if (notice.is_malformed)
         return log_malformed_notice(server);
     apply_limit(server, notice.max_requests_per_second, now);
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace pistachiohub::gateway
 {
@@ -61,11 +62,11 @@
         table.by_service.erase(found);
 }
 
-void remember_limit(server_table& table, server_pointer const& server)
+void remember_notices(server_table& table, server_pointer const& server)
 {
-    if (table.removed_limited.size() >= max_removed_limited)
-        table.removed_limited.erase(table.removed_limited.begin());
-    table.removed_limited.insert_or_assign(server->record.id, server);
+    if (table.removed_with_notices.size() >= max_removed_with_notices)
+        table.removed_with_notices.pop_front();
+    table.removed_with_notices.push_back(server);
 }
 
 void remove_server(server_table& table, std::string const& id, table_change& change)
@@ -74,8 +75,8 @@
     if (found == table.servers.end())
         return;
     found->second->is_removed = true;
-    if (found->second->limit)
-        remember_limit(table, found->second);
+    if (found->second->limit || found->second->has_announced_leaving)
+        remember_notices(table, found->second);
     remove_from_service(table, found->second);
     table.by_hash.erase(found->second->hash);
     table.servers.erase(found);
@@ -88,6 +89,23 @@
            server.record.service != record.service || server.record.address != record.address;
 }
 
+// Takes over what the same incarnation said of itself before it was removed.
+void restore_notices(server_table& table, known_server& server)
+{
+    auto const found = std::find_if(table.removed_with_notices.begin(),
+                                    table.removed_with_notices.end(),
+                                    [&server](server_pointer const& removed)
+                                    {
+                                        return removed->record.id == server.record.id &&
+                                               !is_new_incarnation(*removed, server.record);
+                                    });
+    if (found == table.removed_with_notices.end())
+        return;
+    server.limit = (*found)->limit;
+    server.has_announced_leaving = (*found)->has_announced_leaving;
+    table.removed_with_notices.erase(found);
+}
+
 void add_server(server_table& table, fleet::backend_server const& record, table_change& change)
 {
     auto server = std::make_shared<known_server>();
@@ -97,9 +115,7 @@
     auto const region = table.region_of_domain.find(record.failure_domain);
     if (region != table.region_of_domain.end())
         server->region = region->second;
-    if (auto const removed = table.removed_limited.extract(record.id);
-        !removed.empty() && !is_new_incarnation(*removed.mapped(), record))
-        server->limit = removed.mapped()->limit;
+    restore_notices(table, *server);
     table.servers.emplace(record.id, server);
     table.by_hash.emplace(server->hash, server);
     table.by_service[record.service].push_back(server);
@@ -218,6 +234,20 @@
     return change.removed_or_leaving;
 }
 
+bool record_leaving(server_table& table, server_pointer const& server)
+{
+    if (std::exchange(server->has_announced_leaving, true))
+        return false;
+    if (!server->is_removed)
+        return true;
+    auto const found = table.servers.find(server->record.id);
+    if (found != table.servers.end() && !is_new_incarnation(*found->second, server->record))
+        found->second->has_announced_leaving = true;
+    else
+        remember_notices(table, server);
+    return true;
+}
+
 std::span<server_pointer const> servers_of(server_table const& table, std::string_view service)
 {
     auto const found = table.by_service.find(service);
@@ -228,7 +258,7 @@
 
 bool is_usable(server_table const& table, known_server const& server)
 {
-    return !server.is_removed && !server.record.is_leaving &&
+    return !server.is_removed && !server.record.is_leaving && !server.has_announced_leaving &&
            !table.evacuated_domains.contains(server.record.failure_domain);
 }
 
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -9,6 +9,7 @@
 #include "libraries/routing/routing_table.hpp"
 #include "plugins/gateway/rate_limit.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -58,6 +59,9 @@
     kernel::monotonic_time cold_until;
     /// Set when the server was removed from the table; no further request may be sent to it.
     bool is_removed = false;
+    /// Whether the server said in an answer that it leaves. No registration of the same incarnation
+    /// takes that back.
+    bool has_announced_leaving = false;
     /// When the registration went missing from the store, until the server is removed or the
     /// registration returns.
     std::optional<kernel::monotonic_time> missing_since;
@@ -101,17 +105,17 @@
     routing::text_map<std::vector<server_pointer>> by_service;
     std::unordered_map<std::uint64_t, server_pointer> by_hash;
     std::set<std::string, std::less<>> evacuated_domains;
-    /// Limited servers that were removed, by id. The registration of a server that lost the store
-    /// lapses and returns while the server runs on.
-    routing::text_map<server_pointer> removed_limited;
+    /// Servers that were removed after they had said something of themselves, the oldest first. The
+    /// registration of a server that lost the store lapses and returns while the server runs on.
+    std::deque<server_pointer> removed_with_notices;
     /// When the store became reachable again after an outage.
     std::optional<kernel::monotonic_time> store_recovered_at;
     /// Whether a complete list of the registered servers has been read.
     bool is_loaded = false;
 };
 
-/// Maximum number of removed servers whose limits are remembered.
-inline constexpr std::size_t max_removed_limited = 256;
+/// Maximum number of removed servers that are remembered for what they said of themselves.
+inline constexpr std::size_t max_removed_with_notices = 256;
 
 /// Time after a store outage within which servers renew registrations that expired during it.
 inline constexpr auto expired_entry_grace = std::chrono::milliseconds(2200);
@@ -144,6 +148,11 @@
 [[nodiscard]] std::span<server_pointer const> servers_of(server_table const& table,
                                                          std::string_view service);
 
+/// Records that the server said in an answer that it leaves. It may have been removed, and even
+/// been added again, since the request was sent.
+/// @returns whether that is news.
+bool record_leaving(server_table& table, server_pointer const& server);
+
 /// @returns whether requests may be sent to the server: it has not been removed, is not leaving and
 /// is not in an evacuated failure domain.
 [[nodiscard]] bool is_usable(server_table const& table, known_server const& server);
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -556,6 +556,37 @@
     CHECK(refused == requests - sent);
 }
 
+// Guards against requests to a server that said that it leaves, once its registration says again
+// that it is ready, or has lapsed and returned. Another process under the same id has said nothing.
+TEST_CASE_METHOD(dispatcher_fixture,
+                 "dispatcher_leaving_server_is_used_again_only_after_a_restart",
+                 "[gateway]")
+{
+    add_server("b-1", "sve-a", 10);
+    auto const request = begin("/i/1");
+    interface::server_notice notice;
+    notice.is_leaving = true;
+    // A part that cannot be read does not hide the rest.
+    notice.is_malformed = GENERATE(false, true);
+    bool const is_told_late = GENERATE(false, true);
+    if (!is_told_late)
+        m_dispatcher->server_notice_received(*request, notice, m_now);
+    add_server("b-1", "sve-a", 10);
+    remove_server("b-1");
+    if (is_told_late)
+        m_dispatcher->server_notice_received(*request, notice, m_now);
+    add_server("b-1", "sve-a", 10);
+    end(request, gateway::attempt_result::answered);
+    CHECK(status_of(begin("/i/2")) == 503);
+    CHECK(m_sent.size() == 1);
+    auto record = m_dispatcher->servers().servers.at("b-1")->record;
+    ++record.started_at_ms;
+    m_dispatcher->apply(
+        events::store_update<fleet::backend_server>{false, 5, {{record.id, 5, record}}}, m_now);
+    begin("/i/3");
+    CHECK(m_sent.size() == 2);
+}
+
 // Guards against a limit that is forgotten when the registration of the server lapses and returns,
 // as after an outage of the store. Another process under the same id has named none.
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_limit_outlives_a_lapsed_registration", "[gateway]")
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -713,4 +713,18 @@
     CHECK(reached - reached_untold <= allowed);
 }
 
+// Guards against requests to a server whose answers say that it leaves. The rule allows them for
+// some time after the first such answer; the next request already has no server to go to.
+TEST_CASE_METHOD(gateway_fixture, "gateway_server_that_says_it_leaves_gets_no_request", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("1"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("1", "x", "Server-Leaving: 1\r\n"));
+    CHECK(caller.receive_message().starts_with("HTTP/1.1 200 "));
+    caller.send(get("2"));
+    CHECK(caller.receive_message().starts_with("HTTP/1.1 503 "));
+}
+
 } // namespace pistachiohub
--- a/tests/platform/server_notice_test.cpp
+++ b/tests/platform/server_notice_test.cpp
@@ -10,15 +10,20 @@
 namespace
 {
 
-interface::server_notice read_limit(std::string const& value)
+interface::server_notice read_header(std::string_view header, std::string const& value)
 {
     return platform::read_server_notice(
-        [&value](std::string_view name)
+        [header, &value](std::string_view name)
         {
-            return name == "Server-Limit" ? std::string_view(value) : std::string_view();
+            return name == header ? std::string_view(value) : std::string_view();
         });
 }
 
+interface::server_notice read_limit(std::string const& value)
+{
+    return read_header("Server-Limit", value);
+}
+
 } // namespace
 
 TEST_CASE("server_notice_limit_is_read", "[platform]")
@@ -29,6 +34,15 @@
     CHECK_FALSE(read_limit("").is_malformed);
 }
 
+TEST_CASE("server_notice_leaving_is_read", "[platform]")
+{
+    CHECK(read_header("Server-Leaving", " 1 ").is_leaving);
+    for (auto const* const value : {"", "0", "yes", "11"})
+        CHECK_FALSE(read_header("Server-Leaving", value).is_leaving);
+    CHECK_FALSE(read_header("Server-Leaving", "0").is_malformed);
+    CHECK(read_header("Server-Leaving", "yes").is_malformed);
+}
+
 // Any bytes may come from a faulty server.
 TEST_CASE("server_notice_absurd_limit_is_ignored", "[platform]")
 {
