standins: Let the store come back from an older copy

Cause: the store of the platform may lose acknowledged writes in a drill: revisions go back and are given out again, which only the header Store-Era shows. The stand-in could not do that, so no test could ask for it. Seen: on the configuration written after the restore is in force on none of three daemons (6 violations), and feed_restored_store_is_listed_again fails. Conclusion: failing tests only; no code of the daemon changed.

--- a/standins/platform/messages.py
+++ b/standins/platform/messages.py
@@ -35,8 +35,9 @@
     return ("\r\n".join(lines + [f"Content-Length: {len(body)}", "", ""])).encode() + body
 
 
-def make_json(status, document):
-    return make_message(f"HTTP/1.1 {status} .", {"Content-Type": "application/json"}, json.dumps(document).encode())
+def make_json(status, document, headers=None):
+    return make_message(f"HTTP/1.1 {status} .", {"Content-Type": "application/json", **(headers or {})},
+                        json.dumps(document).encode())
 
 
 async def serve(address, port, handle):
--- a/standins/platform/metadata_store.py
+++ b/standins/platform/metadata_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import urllib.parse
 
 import messages as wire
@@ -16,7 +17,9 @@
         self.revision = 1
         self.kinds = {}
         self.events = []
+        self.log = []  # (time, revision, kind, object, whether it was removed) of all changes
         self.oldest = 0
+        self.era = 1
         self.changed = asyncio.Condition()
         self.is_down = False
         self.calls = 0
@@ -38,7 +41,9 @@
     async def record(self, kind, item, is_deleted):
         self.revision += 1
         item["metadata"]["revision"] = self.revision
-        self.events.append((self.revision, kind, json.loads(json.dumps(item)), is_deleted))
+        copy = json.loads(json.dumps(item))
+        self.events.append((self.revision, kind, copy, is_deleted))
+        self.log.append((time.monotonic(), self.revision, kind, copy, is_deleted))
         async with self.changed:
             self.changed.notify_all()
 
@@ -47,10 +52,26 @@
         self.oldest = self.revision
         self.events.clear()
 
+    def restore(self, age_s):
+        """Comes back from a copy of that age: later changes are gone, and their revisions are given out again."""
+        self.log = [change for change in self.log if change[0] <= time.monotonic() - age_s]
+        self.kinds, self.events = {}, []
+        for _, revision, kind, item, is_deleted in self.log:
+            self.events.append((revision, kind, item, is_deleted))
+            self.kinds.setdefault(kind, {}).pop(item["metadata"]["name"], None)
+            if not is_deleted:
+                self.kinds[kind][item["metadata"]["name"]] = json.loads(json.dumps(item))
+        self.revision = self.log[-1][1] if self.log else 1
+        self.oldest = min(self.oldest, self.revision)
+        self.era += 1
+
+    def answer(self, status, document):
+        return wire.make_json(status, document, {"Store-Era": self.era})
+
     async def handle(self, message):
         self.calls += 1
         if self.is_down:
-            return wire.make_json(503, {"error": "down"})
+            return self.answer(503, {"error": "down"})
         method, target, _ = message.start.split(" ", 2)
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -65,23 +86,25 @@
         items = self.kinds.get(path[0], {})
         if len(path) > 1:
             found = items.get(path[1])
-            return wire.make_json(200, found) if found else wire.make_json(404, {"error": "missing"})
+            return self.answer(200, found) if found else self.answer(404, {"error": "missing"})
         names = sorted(name for name in items if name > query.get("after", ""))
-        return wire.make_json(200, {"items": [items[name] for name in names[:PAGE]],
+        return self.answer(200, {"items": [items[name] for name in names[:PAGE]],
                                     "has_more": len(names) > PAGE, "at": self.revision})
 
     async def watch(self, kind, since, wait_s):
-        if since < self.oldest:
-            return wire.make_json(410, {"error": "gone"})
+        def is_gone():
+            return since < self.oldest or since > self.revision
 
         def found():
             return [event for event in self.events if event[0] > since and event[1] == kind]
         try:
             async with self.changed:
-                await asyncio.wait_for(self.changed.wait_for(found), max(wait_s, 0.001))
+                await asyncio.wait_for(self.changed.wait_for(lambda: is_gone() or found()), max(wait_s, 0.001))
         except asyncio.TimeoutError:
             pass
-        return wire.make_json(200, {"at": self.revision, "events": [
+        if is_gone():
+            return self.answer(410, {"error": "gone"})
+        return self.answer(200, {"at": self.revision, "events": [
             {"object": item, "deleted": is_deleted} for _, _, item, is_deleted in found()]})
 
     async def write(self, method, path, query, document):
@@ -90,12 +113,12 @@
         current = self.kinds.get(kind, {}).get(name)
         expected = document.get("metadata", {}).get("revision", query.get("revision"))
         if method == "POST" and current is not None:
-            return wire.make_json(409, current)
+            return self.answer(409, current)
         if method != "POST" and current is None:
-            return wire.make_json(404, {"error": "missing"})
+            return self.answer(404, {"error": "missing"})
         if current is not None and expected is not None and int(expected) != current["metadata"]["revision"]:
-            return wire.make_json(409, current)
+            return self.answer(409, current)
         if method == "DELETE":
             await self.remove(kind, name)
-            return wire.make_json(200, current)
-        return wire.make_json(201 if method == "POST" else 200, await self.put(kind, name, spec=document["spec"]))
+            return self.answer(200, current)
+        return self.answer(201 if method == "POST" else 200, await self.put(kind, name, spec=document["spec"]))
--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -25,10 +25,13 @@
     return static_cast<std::uint16_t>(first_port + ::getpid() % processes);
 }
 
-void answer(support::raw_connection& connection, std::string const& status, std::string const& body)
+void answer(support::raw_connection& connection,
+            std::string const& status,
+            std::string const& body,
+            std::string const& headers = "")
 {
-    connection.send("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
-                    "\r\n\r\n" + body);
+    connection.send("HTTP/1.1 " + status + "\r\n" + headers +
+                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 /// Duties of a gateway by name, and a scripted store.
@@ -158,4 +161,23 @@
     answer(second, "200 OK", R"({"events": [], "at": 8})");
 }
 
+// Guards against changes that are missed when the store comes back from an older copy: it gives out
+// revisions again, so a watch from before goes on in another history without any sign but the
+// header.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_restored_store_is_listed_again",
+                 "[discovery][concurrent]")
+{
+    std::string const list = "GET /pistachiohub/objects/evacuations HTTP";
+    start("evacuation feed");
+    auto store = m_store.accept();
+    CHECK(store.receive_message().starts_with(list));
+    answer(store, "200 OK", R"({"items": [], "has_more": false, "at": 5})", "Store-Era: 1\r\n");
+    CHECK(store.receive_message().starts_with("GET /pistachiohub/objects/evacuations?watch=5&"));
+    answer(store, "200 OK", R"({"events": [], "at": 8})", "Store-Era: 2\r\n");
+    CHECK(store.receive_message().starts_with(list));
+    answer(store, "200 OK", R"({"items": [], "has_more": false, "at": 9})", "Store-Era: 2\r\n");
+    CHECK(store.receive_message().starts_with("GET /pistachiohub/objects/evacuations?watch=9&"));
+}
+
 } // namespace pistachiohub
--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -47,4 +47,7 @@
   add_test(NAME demo_platform_restart
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --kill-all --base-port 32500)
   set_tests_properties(demo_platform_restart PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
+  add_test(NAME demo_platform_restored
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --restore --base-port 32600)
+  set_tests_properties(demo_platform_restored PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
 endif()
