discovery: Take revisions of the store for those of one generation

Cause: readers go on to watch from their old revision. The restored store gives out revisions again, and once it has passed the old one, no 410 comes: all that was written below is never read. Followers that ask another host have the same fault, since its history starts below their revision. A position is a generation and a revision; followers state theirs, and a host that knows a later generation answers that its history is gone, one that knows an earlier one that it is stale. State and changes are now taken under one lock, as the generation may change between. Only the log tells so far that the list is of a restored store. Ruled out: comparing revisions, as the request interface does: the new history may be past the old one at the first read.

--- a/libraries/events/gateway_event.hpp
+++ b/libraries/events/gateway_event.hpp
@@ -33,6 +33,17 @@
     std::optional<Record> record;
 };
 
+/// What a reader of the store has read.
+enum class read_kind
+{
+    /// What changed since the last read.
+    changes,
+    /// All objects.
+    list,
+    /// All objects, for the first time since the store was restored from an older copy.
+    restored_list
+};
+
 /// Objects of one kind that were read from the store.
 template<class Record>
 struct store_update
@@ -41,6 +52,10 @@
     bool is_complete = false;
     std::uint64_t revision = 0;
     std::vector<change<Record>> changes;
+    /// Whether this is the first complete list since the store was restored from an older copy.
+    /// What was written lately may be missing until it is written again, and what was removed or
+    /// replaced lately may be there.
+    bool is_restored = false;
 };
 
 /// The store was lost or regained by one reader.
--- a/libraries/object_store/dialect.cpp
+++ b/libraries/object_store/dialect.cpp
@@ -73,10 +73,10 @@
 }
 
 http::request
-make_watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait)
+make_watch(std::string_view kind, position const& since, std::chrono::milliseconds wait)
 {
     return {"GET",
-            "/watch/" + std::string(kind) + "?after=" + std::to_string(revision) +
+            "/watch/" + std::string(kind) + "?after=" + std::to_string(since.revision) +
                 "&wait_ms=" + std::to_string(wait.count()),
             {},
             {}};
--- a/libraries/object_store/dialect.hpp
+++ b/libraries/object_store/dialect.hpp
@@ -31,7 +31,7 @@
     /// @param after name after which the page begins; empty for the first page.
     http::request (*make_list)(std::string_view kind, std::string_view after);
     http::request (*make_watch)(std::string_view kind,
-                                std::uint64_t revision,
+                                position const& since,
                                 std::chrono::milliseconds wait);
     /// @param expected_version 0 creates the object.
     /// @param value JSON text.
@@ -49,6 +49,8 @@
     page (*decode_changes)(std::string_view body);
     /// @returns the version in the answer to a write, for status::ok and status::conflict.
     std::uint64_t (*decode_written)(std::string_view body);
+    /// Header of all answers with the store's generation; empty if the object API has none.
+    std::string_view generation_header{};
 };
 
 /// @returns what the status of an answer to a read means in each of these object APIs.
--- a/libraries/object_store/object.hpp
+++ b/libraries/object_store/object.hpp
@@ -27,13 +27,32 @@
     lost_answer,
     /// cancel() ended the call; a write may have taken effect.
     cancelled,
-    /// A watch: the store no longer holds the changes since the given revision.
+    /// The store does not hold the changes since the given position, or was restored from an older
+    /// copy during the call.
     history_gone
 };
 
 /// @returns the name used in logs and metric labels.
 [[nodiscard]] std::string_view to_string(status value);
 
+/// A state of the store. A store that was restored from an older copy begins another generation, in
+/// which it gives out again the revisions after that copy; so a revision names a state only
+/// together with its generation.
+struct position
+{
+    /// 0 if the store does not name its generation.
+    std::uint64_t generation = 0;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(position const&, position const&) = default;
+};
+
+/// @returns whether two generations are known to differ.
+[[nodiscard]] constexpr bool is_other_generation(std::uint64_t one, std::uint64_t other)
+{
+    return one != 0 && other != 0 && one != other;
+}
+
 /// An object of the store.
 struct object
 {
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <exception>
 
 namespace pistachiohub::object_store
@@ -68,7 +69,12 @@
         if (read.end != status::ok)
             return read;
         if (after.empty())
+        {
             result.revision = read.revision;
+            result.generation = read.generation;
+        }
+        if (is_other_generation(result.generation, read.generation))
+            return {status::history_gone, 0, {}, read.generation};
         auto const last_named = std::find_if(read.objects.rbegin(),
                                              read.objects.rend(),
                                              [](object const& listed)
@@ -87,13 +93,27 @@
 }
 
 list_result
-client::watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait)
+client::watch(std::string_view kind, position const& since, std::chrono::milliseconds wait)
 {
     bool has_more = false;
-    return read_page(m_dialect.make_watch(kind, revision, wait),
-                     m_limits.read_timeout + wait,
-                     m_dialect.decode_changes,
-                     has_more);
+    auto read = read_page(m_dialect.make_watch(kind, since, wait),
+                          m_limits.read_timeout + wait,
+                          m_dialect.decode_changes,
+                          has_more);
+    if (read.end == status::ok && is_other_generation(since.generation, read.generation))
+        return {status::history_gone, 0, {}, read.generation};
+    return read;
+}
+
+std::uint64_t client::generation_of(http::response const& answer) const
+{
+    if (m_dialect.generation_header.empty())
+        return 0;
+    auto const text = answer.find_header(m_dialect.generation_header).value_or("");
+    std::uint64_t generation = 0;
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), generation);
+    bool const is_number = failure == std::errc{} && end == text.data() + text.size();
+    return is_number ? generation : 0;
 }
 
 list_result client::read_page(http::request const& wanted,
@@ -106,11 +126,12 @@
     {
         auto const answer = m_http.send(wanted, read_timeout);
         auto const end = m_dialect.read_status(answer.status);
+        auto const generation = generation_of(answer);
         if (end != status::ok)
-            return {end, 0, {}};
+            return {end, 0, {}, generation};
         auto read = decode(answer.body);
         has_more = read.has_more;
-        return {status::ok, read.revision, std::move(read.objects)};
+        return {status::ok, read.revision, std::move(read.objects), generation};
     }
     catch (http::cancelled const&)
     {
@@ -165,9 +186,10 @@
     {
         auto const answer = m_http.send(wanted);
         auto const end = m_dialect.write_status(answer.status);
+        auto const generation = generation_of(answer);
         if (decode == nullptr || (end != status::ok && end != status::conflict))
-            return {end, 0};
-        return {end, decode(answer.body)};
+            return {end, 0, generation};
+        return {end, decode(answer.body), generation};
     }
     catch (http::never_sent const&)
     {
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -33,6 +33,8 @@
     status end = status::outage;
     std::uint64_t revision = 0;
     std::vector<object> objects;
+    /// Generation of the store that answered; 0 if it is unknown.
+    std::uint64_t generation = 0;
 };
 
 /// Result of a conditional update.
@@ -41,6 +43,8 @@
     status end = status::outage;
     /// The new version when written, the version found when in conflict, otherwise 0.
     std::uint64_t version = 0;
+    /// Generation of the store that answered; 0 if it is unknown.
+    std::uint64_t generation = 0;
 };
 
 /// Client of one store. Calls are made by one thread at a time; cancel() may come from any thread.
@@ -55,12 +59,13 @@
     [[nodiscard]] read_result read(std::string_view kind, std::string_view name);
 
     /// Reads all objects of a kind, page by page. The revision is that of the first page, so that a
-    /// watch from there misses nothing.
+    /// watch from there misses nothing. Pages of two generations end with `status::history_gone`.
     [[nodiscard]] list_result list(std::string_view kind);
 
-    /// Waits up to `wait` for objects that changed after `revision`.
+    /// Waits up to `wait` for objects that changed after `since`. Ends with `status::history_gone`
+    /// if the store answers in another generation.
     [[nodiscard]] list_result
-    watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait);
+    watch(std::string_view kind, position const& since, std::chrono::milliseconds wait);
 
     /// Writes an object if it has `expected_version`; 0: if it does not exist.
     [[nodiscard]] write_result write(std::string_view kind,
@@ -79,6 +84,8 @@
     void cancel();
 
 private:
+    /// @returns the generation that an answer names; 0 if it names none that can be read.
+    [[nodiscard]] std::uint64_t generation_of(http::response const& answer) const;
     [[nodiscard]] list_result read_page(http::request const& wanted,
                                         kernel::duration read_timeout,
                                         page (*decode)(std::string_view body),
--- a/plugins/discovery/feed_history.cpp
+++ b/plugins/discovery/feed_history.cpp
@@ -9,8 +9,11 @@
 
 void record(kind_history& history, bool is_complete, object_store::list_result const& read)
 {
+    bool const is_restored = object_store::is_other_generation(history.generation, read.generation);
+    if (read.generation != 0)
+        history.generation = read.generation;
     history.revision = read.revision;
-    if (is_complete)
+    if (is_complete || is_restored)
     {
         history.batches.clear();
         history.complete_since = read.revision;
@@ -32,14 +35,20 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
-history_state
-state_since(kind_history const& history, std::uint64_t revision, kernel::boot_time oldest)
+history_state state_since(kind_history const& history,
+                          object_store::position const& since,
+                          kernel::boot_time oldest)
 {
     if (!history.is_direct || history.confirmed_at < oldest)
         return history_state::is_stale;
-    if (revision < history.complete_since)
+    // Daemons learn of a restored store at different times: the one that asks may be ahead.
+    if (object_store::is_other_generation(since.generation, history.generation))
+        return since.generation > history.generation ? history_state::is_stale
+                                                     : history_state::is_gone;
+    if (since.revision < history.complete_since)
         return history_state::is_gone;
-    bool const has_changes = !history.batches.empty() && history.batches.back().revision > revision;
+    bool const has_changes =
+        !history.batches.empty() && history.batches.back().revision > since.revision;
     return has_changes ? history_state::has_changes : history_state::is_current;
 }
 
@@ -75,21 +84,16 @@
         m_wake_up();
 }
 
-history_state
-feed_histories::state(std::string_view kind, std::uint64_t revision, kernel::boot_time oldest) const
+history_answer feed_histories::answer(std::string_view kind,
+                                      object_store::position const& since,
+                                      kernel::boot_time oldest) const
 {
     std::lock_guard const lock(m_mutex);
     auto const found = m_histories.find(kind);
-    return found == m_histories.end() ? history_state::is_stale
-                                      : state_since(found->second, revision, oldest);
-}
-
-object_store::list_result feed_histories::changes(std::string_view kind,
-                                                  std::uint64_t revision) const
-{
-    std::lock_guard const lock(m_mutex);
-    auto const found = m_histories.find(kind);
-    return changes_since(found == m_histories.end() ? kind_history{} : found->second, revision);
+    if (found == m_histories.end())
+        return {};
+    return {state_since(found->second, since, oldest),
+            changes_since(found->second, since.revision)};
 }
 
 void feed_histories::set_wake_up(std::function<void()> wake_up)
--- a/plugins/discovery/feed_history.hpp
+++ b/plugins/discovery/feed_history.hpp
@@ -28,6 +28,8 @@
 /// What is known of one kind. A plain value without a clock.
 struct kind_history
 {
+    /// Generation of the store in which the revisions count; 0 if it is unknown.
+    std::uint64_t generation = 0;
     /// Changes since this revision are complete.
     std::uint64_t complete_since = 0;
     std::uint64_t revision = 0;
@@ -55,7 +57,8 @@
     is_current,
     /// What is known is too old, or was not read from the store itself.
     is_stale,
-    /// The changes since that revision are no longer known.
+    /// The changes since that position are not known, or belong to a generation of the store that
+    /// has ended.
     is_gone
 };
 
@@ -63,13 +66,22 @@
 [[nodiscard]] std::string_view to_string(history_state value);
 
 /// @param oldest what was confirmed before this time is too old.
-[[nodiscard]] history_state
-state_since(kind_history const& history, std::uint64_t revision, kernel::boot_time oldest);
+[[nodiscard]] history_state state_since(kind_history const& history,
+                                        object_store::position const& since,
+                                        kernel::boot_time oldest);
 
 /// @returns all changes since `revision`, in the order of the store.
 [[nodiscard]] object_store::list_result changes_since(kind_history const& history,
                                                       std::uint64_t revision);
 
+/// What a daemon that asks for changes is told.
+struct history_answer
+{
+    history_state state = history_state::is_stale;
+    /// Valid for `has_changes` and `is_current`.
+    object_store::list_result changes;
+};
+
 /// The histories of all kinds, shared by the feeds, which write them, and the relay.
 class feed_histories
 {
@@ -82,13 +94,10 @@
                 object_store::list_result const& read,
                 kernel::boot_time confirmed_at);
 
-    /// @returns state_since() of the kind; `is_stale` if it was never read.
-    [[nodiscard]] history_state
-    state(std::string_view kind, std::uint64_t revision, kernel::boot_time oldest) const;
-
-    /// @returns changes_since() of the kind.
-    [[nodiscard]] object_store::list_result changes(std::string_view kind,
-                                                    std::uint64_t revision) const;
+    /// @returns state_since() and changes_since() of the kind; `is_stale` if it was never read.
+    [[nodiscard]] history_answer answer(std::string_view kind,
+                                        object_store::position const& since,
+                                        kernel::boot_time oldest) const;
 
     /// Sets a callback that runs on a feed's thread after each update. An empty function removes
     /// it.
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -76,9 +76,12 @@
                                         feed_rhythm const& rhythm,
                                         Decode decode)
 {
-    auto convert = [&context, kind, decode](bool is_complete, object_store::list_result const& read)
+    auto convert =
+        [&context, kind, decode](events::read_kind read_as, object_store::list_result const& read)
     {
-        events::store_update<Record> update{is_complete, read.revision, {}};
+        events::store_update<Record> update{
+            read_as != events::read_kind::changes, read.revision, {}};
+        update.is_restored = read_as == events::read_kind::restored_list;
         for (auto const& object : read.objects)
         {
             events::change<Record> changed{object.name, object.version, std::nullopt};
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -58,6 +58,7 @@
     , m_convert(std::move(convert))
     , m_gateway(context.shared<kernel::mailbox<events::gateway_event>>())
     , m_histories(context.shared<feed_histories>())
+    , m_newest_generation(context.shared<store::newest_generation>())
     , m_relay(context.shared<kernel::snapshot<fleet::relay_choice>>())
     , m_client(context.own_settings().store, make_limits(), spoken.store)
 {
@@ -81,7 +82,7 @@
 void object_feed::poll()
 {
     auto const* const relay = m_relay.get();
-    bool const has_relay = relay != nullptr && !relay->host.empty() && m_revision &&
+    bool const has_relay = relay != nullptr && !relay->host.empty() && m_position &&
                            kernel::monotonic_now() >= m_relay_avoided_until;
     if (!has_relay || !poll_relay(*relay))
         poll_store();
@@ -92,14 +93,14 @@
     auto const asked_at = kernel::boot_clock::now();
     auto const read = client_of(relay).watch(
         asked_kind(m_kind, {m_context.own_settings().name, m_context.incarnation()}),
-        *m_revision,
+        *m_position,
         m_rhythm.relay_wait);
     count_read("relay", read.end);
     if (read.end == status::ok)
     {
         m_histories.update(m_kind, false, false, read, asked_at);
         m_context.shared<relay_followers>().note_answer(kernel::boot_clock::now());
-        accept(false, read);
+        accept(events::read_kind::changes, read);
         return true;
     }
     if (read.end == status::cancelled)
@@ -114,7 +115,8 @@
                       {{"kind", m_kind},
                        {"host", std::string_view(relay.host)},
                        {"result", to_string(read.end)},
-                       {"revision", *m_revision}});
+                       {"revision", m_position->revision},
+                       {"generation", m_position->generation}});
     return false;
 }
 
@@ -135,11 +137,12 @@
 {
     auto const asked_at = kernel::boot_clock::now();
     auto const earliest_next = kernel::monotonic_now() + m_rhythm.spacing;
-    bool const is_complete = !m_revision.has_value();
+    bool const is_complete = !m_position.has_value();
     auto const wait = m_must_catch_up ? no_wait : m_rhythm.watch_wait;
     auto const read =
-        is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_revision, wait);
+        is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_position, wait);
     count_read("store", read.end);
+    m_newest_generation.note(read.generation);
     if (read.end != status::ok)
         return handle_failure(read.end);
     m_must_catch_up = false;
@@ -147,15 +150,35 @@
         report_contact(true, read.end);
     m_failures = 0;
     m_histories.update(m_kind, true, is_complete, read, asked_at);
-    accept(is_complete, read);
+    if (!is_complete)
+        accept(events::read_kind::changes, read);
+    else
+        accept(note_generation(read.generation) ? events::read_kind::restored_list
+                                                : events::read_kind::list,
+               read);
     m_signal.wait_until(earliest_next);
 }
 
-void object_feed::accept(bool is_complete, object_store::list_result const& read)
+void object_feed::accept(events::read_kind kind, object_store::list_result const& read)
 {
-    m_revision = read.revision;
-    if (is_complete || !read.objects.empty())
-        deliver(m_convert(is_complete, read));
+    // The answers of other daemons name no generation: they hold changes of the one asked for.
+    m_position = {m_generation, read.revision};
+    if (kind != events::read_kind::changes || !read.objects.empty())
+        deliver(m_convert(kind, read));
+}
+
+bool object_feed::note_generation(std::uint64_t generation)
+{
+    bool const is_restored = object_store::is_other_generation(m_generation, generation);
+    if (is_restored)
+        kernel::log_event(
+            kernel::log_level::warning,
+            "discovery",
+            "store_restored",
+            {{"kind", m_kind}, {"generation", generation}, {"generation_before", m_generation}});
+    if (generation != 0)
+        m_generation = generation;
+    return is_restored;
 }
 
 void object_feed::count_read(std::string_view source, status end)
@@ -173,8 +196,10 @@
         kernel::log_event(kernel::log_level::info,
                           "discovery",
                           "history_gone",
-                          {{"kind", m_kind}, {"revision", m_revision.value_or(0)}});
-        m_revision.reset();
+                          {{"kind", m_kind},
+                           {"revision", m_position ? m_position->revision : 0},
+                           {"generation", m_generation}});
+        m_position.reset();
         return;
     }
     if (++m_failures == 1 && !m_signal.is_stopping())
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -12,6 +12,7 @@
 #include "libraries/object_store/object_store.hpp"
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/rhythm.hpp"
+#include "plugins/store/newest_generation.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <functional>
@@ -31,7 +32,7 @@
 public:
     /// Turns what was read into a message to the gateway.
     using convert_function = std::function<events::gateway_event(
-        bool is_complete, object_store::list_result const& read)>;
+        events::read_kind kind, object_store::list_result const& read)>;
 
     object_feed(kernel::daemon_context& context,
                 interface::deployment_interface const& spoken,
@@ -49,7 +50,10 @@
     /// @returns false when the store is to be read instead.
     [[nodiscard]] bool poll_relay(fleet::relay_choice const& relay);
     [[nodiscard]] object_store::client& client_of(fleet::relay_choice const& relay);
-    void accept(bool is_complete, object_store::list_result const& read);
+    void accept(events::read_kind kind, object_store::list_result const& read);
+    /// Notes the generation of the store that answered.
+    /// @returns whether the store was restored from an older copy since the last answer.
+    [[nodiscard]] bool note_generation(std::uint64_t generation);
     void count_read(std::string_view source, object_store::status end);
     void handle_failure(object_store::status end);
     void report_contact(bool is_reachable, object_store::status end);
@@ -61,6 +65,7 @@
     convert_function m_convert;
     kernel::mailbox<events::gateway_event>& m_gateway;
     feed_histories& m_histories;
+    store::newest_generation& m_newest_generation;
     kernel::snapshot_reader<fleet::relay_choice> m_relay;
     object_store::client m_client;
     /// Guards the pointer, which request_stop() reads from another thread.
@@ -73,7 +78,9 @@
     store::wake_signal m_signal;
     std::mt19937_64 m_random{std::random_device{}()};
     /// Missing until all objects were read.
-    std::optional<std::uint64_t> m_revision;
+    std::optional<object_store::position> m_position;
+    /// Generation of the store in the last answer that named one.
+    std::uint64_t m_generation = 0;
     unsigned m_failures = 0;
 };
 
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -128,8 +128,8 @@
     {
         auto const& query = question.query;
         auto const longest_age = m_ages.find(query.kind)->second;
-        auto const state =
-            m_histories.state(query.kind, query.revision, kernel::boot_clock::now() - longest_age);
+        auto const [state, changes] =
+            m_histories.answer(query.kind, query.since, kernel::boot_clock::now() - longest_age);
         if (state == history_state::is_current && now < question.ends_at)
             return false;
         count(query.kind, state);
@@ -142,8 +142,7 @@
             question.reply({http_unavailable, "{\"reason\":\"stale\"}"});
             break;
         default:
-            question.reply(
-                {http_ok, encode_changes(m_histories.changes(query.kind, query.revision))});
+            question.reply({http_ok, encode_changes(changes)});
         }
         return true;
     }
--- a/plugins/discovery/relay_dialect.cpp
+++ b/plugins/discovery/relay_dialect.cpp
@@ -15,13 +15,16 @@
 constexpr std::string_view path_prefix = "/v1/changes/";
 constexpr std::string_view after_key = "after=";
 constexpr std::string_view wait_key = "&wait_ms=";
+constexpr std::string_view generation_key = "&generation=";
 
-http::request
-make_watch(std::string_view kind, std::uint64_t revision, std::chrono::milliseconds wait)
+http::request make_watch(std::string_view kind,
+                         object_store::position const& since,
+                         std::chrono::milliseconds wait)
 {
     std::string target(path_prefix);
-    target.append(kind).append("?").append(after_key).append(std::to_string(revision));
+    target.append(kind).append("?").append(after_key).append(std::to_string(since.revision));
     target.append(wait_key).append(std::to_string(wait.count()));
+    target.append(generation_key).append(std::to_string(since.generation));
     return {"GET", std::move(target), {}, {}};
 }
 
@@ -79,16 +82,22 @@
     auto const host = path.find('/');
     auto const incarnation = path.rfind('/');
     auto const wait = query.find(wait_key);
-    if (host == incarnation || wait == std::string_view::npos)
+    auto const generation_at = query.find(generation_key);
+    if (host == incarnation || wait == std::string_view::npos ||
+        generation_at == std::string_view::npos || generation_at < wait)
         return std::nullopt;
     auto const number = parse_number<std::uint64_t>(path.substr(incarnation + 1));
     auto const revision = parse_number<std::uint64_t>(query.substr(0, wait));
-    auto const wait_ms = parse_number<std::uint32_t>(query.substr(wait + wait_key.size()));
-    if (!number || !revision || !wait_ms)
+    auto const wait_begin = wait + wait_key.size();
+    auto const wait_ms =
+        parse_number<std::uint32_t>(query.substr(wait_begin, generation_at - wait_begin));
+    auto const generation =
+        parse_number<std::uint64_t>(query.substr(generation_at + generation_key.size()));
+    if (!number || !revision || !wait_ms || !generation)
         return std::nullopt;
     return change_query{std::string(path.substr(0, host)),
                         {std::string(path.substr(host + 1, incarnation - host - 1)), *number},
-                        *revision,
+                        {*generation, *revision},
                         std::chrono::milliseconds(*wait_ms)};
 }
 
--- a/plugins/discovery/relay_dialect.hpp
+++ b/plugins/discovery/relay_dialect.hpp
@@ -21,7 +21,7 @@
 {
     std::string kind;
     fleet::host_incarnation asker;
-    std::uint64_t revision = 0;
+    object_store::position since;
     std::chrono::milliseconds wait{0};
 };
 
--- a/plugins/store/watch_loop.cpp
+++ b/plugins/store/watch_loop.cpp
@@ -70,7 +70,7 @@
 {
     auto const earliest_next = kernel::monotonic_now() + shortest_poll_interval;
     auto const result =
-        m_revision ? m_client.watch(m_kind, *m_revision, watch_wait) : m_client.list(m_kind);
+        m_revision ? m_client.watch(m_kind, {0, *m_revision}, watch_wait) : m_client.list(m_kind);
     m_context.own_metrics()
         .find_counter("pistachiohub_store_" + m_kind + "_polls_total",
                       {"result", to_string(result.end)})
--- a/tests/discovery/feed_history_test.cpp
+++ b/tests/discovery/feed_history_test.cpp
@@ -103,7 +103,7 @@
                              revision = store.log.size();
                              break;
                          }
-                         if (discovery::state_since(history, revision, start) !=
+                         if (discovery::state_since(history, {0, revision}, start) !=
                              history_state::has_changes)
                              break;
                          auto const told = discovery::changes_since(history, revision);
@@ -122,13 +122,13 @@
     history.is_direct = true;
     history.confirmed_at = start;
     discovery::record(history, true, make_changes(10, {make_object("a", 4, false)}));
-    CHECK(discovery::state_since(history, 9, start) == history_state::is_gone);
-    CHECK(discovery::state_since(history, 10, start) == history_state::is_current);
+    CHECK(discovery::state_since(history, {0, 9}, start) == history_state::is_gone);
+    CHECK(discovery::state_since(history, {0, 10}, start) == history_state::is_current);
     for (std::uint64_t batch = 0; batch <= discovery::most_batches; ++batch)
         discovery::record(
             history, false, make_changes(11 + batch, {make_object("a", 11 + batch, false)}));
-    CHECK(discovery::state_since(history, 10, start) == history_state::is_gone);
-    CHECK(discovery::state_since(history, 11, start) == history_state::has_changes);
+    CHECK(discovery::state_since(history, {0, 10}, start) == history_state::is_gone);
+    CHECK(discovery::state_since(history, {0, 11}, start) == history_state::has_changes);
 }
 
 // A daemon that is cut off from the store, or that reads from another one, must not pass its old
@@ -136,26 +136,52 @@
 TEST_CASE("feed_history_old_or_indirect_knowledge_is_stale", "[discovery]")
 {
     discovery::feed_histories histories;
-    CHECK(histories.state("servers", 0, start) == history_state::is_stale);
+    CHECK(histories.answer("servers", {0, 0}, start).state == history_state::is_stale);
     histories.update("servers", true, true, make_changes(5, {}), start);
-    CHECK(histories.state("servers", 5, start) == history_state::is_current);
-    CHECK(histories.state("servers", 5, start + milliseconds(1)) == history_state::is_stale);
+    CHECK(histories.answer("servers", {0, 5}, start).state == history_state::is_current);
+    CHECK(histories.answer("servers", {0, 5}, start + milliseconds(1)).state ==
+          history_state::is_stale);
     histories.update("servers", false, false, make_changes(6, {}), start + milliseconds(1));
-    CHECK(histories.state("servers", 5, start + milliseconds(1)) == history_state::is_stale);
+    CHECK(histories.answer("servers", {0, 5}, start + milliseconds(1)).state ==
+          history_state::is_stale);
+}
+
+// Guards against a revision that is taken for one of another generation when daemons learn at
+// different times that the store was restored from an older copy.
+TEST_CASE("feed_history_another_generation_is_gone_or_still_unknown", "[discovery]")
+{
+    discovery::kind_history history;
+    history.is_direct = true;
+    history.confirmed_at = start;
+    auto listed = make_changes(10, {});
+    listed.generation = 2;
+    discovery::record(history, true, listed);
+    CHECK(discovery::state_since(history, {2, 10}, start) == history_state::is_current);
+    CHECK(discovery::state_since(history, {1, 12}, start) == history_state::is_gone);
+    CHECK(discovery::state_since(history, {3, 12}, start) == history_state::is_stale);
+    // A store that names no generation.
+    CHECK(discovery::state_since(history, {0, 10}, start) == history_state::is_current);
+    // What was read of the earlier generation is not told to those that know the later one.
+    discovery::record(history, false, make_changes(11, {make_object("a", 11, false)}));
+    listed.revision = 8;
+    listed.generation = 3;
+    discovery::record(history, true, listed);
+    CHECK(discovery::changes_since(history, 8).objects.empty());
+    CHECK(discovery::state_since(history, {3, 7}, start) == history_state::is_gone);
 }
 
 TEST_CASE("relay_dialect_question_and_changes_survive_the_wire", "[discovery]")
 {
     auto const& spoken = discovery::relay_dialect();
-    auto const wanted =
-        spoken.make_watch(discovery::asked_kind("servers", {"host-1", 77}), 12, milliseconds(300));
+    auto const wanted = spoken.make_watch(
+        discovery::asked_kind("servers", {"host-1", 77}), {3, 12}, milliseconds(300));
     auto const separator = wanted.target.find('?');
     auto const query = discovery::parse_change_query(wanted.target.substr(0, separator),
                                                      wanted.target.substr(separator + 1));
     REQUIRE(query);
     CHECK(query->kind == "servers");
     CHECK(query->asker == fleet::host_incarnation{"host-1", 77});
-    CHECK(query->revision == 12);
+    CHECK(query->since == object_store::position{3, 12});
     CHECK(query->wait == milliseconds(300));
     auto changed = make_object("i-1", 13, true);
     changed.value = R"({"quoted": "\"text\""})";
@@ -179,6 +205,9 @@
     auto const query = GENERATE(std::string("after=1&wait_ms=x"),
                                 std::string("after=-1&wait_ms=2"),
                                 std::string("after=1"),
+                                std::string("after=1&wait_ms=2"),
+                                std::string("after=1&wait_ms=2&generation=x"),
+                                std::string("after=1&generation=3&wait_ms=2"),
                                 std::string(""));
     CHECK_FALSE(discovery::parse_change_query(path, query));
 }
--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -82,7 +82,8 @@
     {
         auto connection = support::connect_to(own_relay_port());
         connection.send("GET /v1/changes/evacuations/host-2/4?after=" + std::to_string(revision) +
-                        "&wait_ms=" + std::to_string(wait_ms) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+                        "&wait_ms=" + std::to_string(wait_ms) +
+                        "&generation=0 HTTP/1.1\r\nHost: x\r\n\r\n");
         return connection;
     }
 };
--- a/tests/platform/metadata_store_test.cpp
+++ b/tests/platform/metadata_store_test.cpp
@@ -38,7 +38,7 @@
 
 TEST_CASE_METHOD(metadata_store_fixture, "metadata_store_watch_reports_removals", "[platform]")
 {
-    CHECK(m_dialect.make_watch("config", 530, std::chrono::milliseconds(1500)).target ==
+    CHECK(m_dialect.make_watch("config", {3, 530}, std::chrono::milliseconds(1500)).target ==
           "/pistachiohub/objects/config?watch=530&wait_ms=1500");
     auto const page = m_dialect.decode_changes(
         R"({"events": [{"deleted": true, "object": {"metadata": {"name": "i-1", "revision": 4},
--- a/tests/store/object_store_test.cpp
+++ b/tests/store/object_store_test.cpp
@@ -72,7 +72,7 @@
             m_client.cancel();
         });
     auto const start = std::chrono::steady_clock::now();
-    CHECK(m_client.watch("configuration", 0, std::chrono::seconds(20)).end == status::cancelled);
+    CHECK(m_client.watch("configuration", {}, std::chrono::seconds(20)).end == status::cancelled);
     CHECK(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(250));
     canceller.join();
     CHECK(m_client.read("journal", "a").end == status::cancelled);
