gateway: Ignore older reports of backend servers

Cause: an entry of the store was taken for the newest state of its server, whatever this daemon knew before. The list of the copy made servers ready that were leaving, and brought back those that were gone. Servers that the copy lacks were dropped at once, unless an outage had been noticed. An older report of a known incarnation is ignored. The last 1,024 removed servers are remembered, no longer only those with notices: a list makes one usable again only with a newer report, which a server that lives makes within seconds. One that leaves does not become ready again in the same incarnation. Those that the copy lacks get the grace time of an outage. Ruled out: to judge by the generation alone, since hosts also read such entries when they list again later in the new generation. Conclusion: a daemon that starts on the older copy cannot know better.

--- a/libraries/fleet/backend_server.hpp
+++ b/libraries/fleet/backend_server.hpp
@@ -27,6 +27,8 @@
     std::chrono::milliseconds cold_remaining{0};
     /// Wall clock of its start in milliseconds. Another value under the same id is another process.
     std::uint64_t started_at_ms = 0;
+    /// Grows with each report of the same process; 0 if it is unknown.
+    std::uint64_t report = 0;
 };
 
 /// One start of the daemon of an entry host.
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -131,6 +131,9 @@
 void dispatcher::apply(events::store_update<fleet::backend_server> const& update,
                        kernel::monotonic_time now)
 {
+    // Servers that the older copy lacks have the same time to register again as after an outage.
+    if (update.is_restored)
+        apply_store_state(m_servers, true, now);
     auto const change = gateway::apply(m_servers, update, now);
     for (auto const& id : change.added)
         log_added_server(id);
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -62,11 +62,11 @@
         table.by_service.erase(found);
 }
 
-void remember_notices(server_table& table, server_pointer const& server)
+void remember_removed(server_table& table, server_pointer const& server)
 {
-    if (table.removed_with_notices.size() >= max_removed_with_notices)
-        table.removed_with_notices.pop_front();
-    table.removed_with_notices.push_back(server);
+    if (table.removed_servers.size() >= max_removed_servers)
+        table.removed_servers.pop_front();
+    table.removed_servers.push_back(server);
 }
 
 void remove_server(server_table& table, std::string const& id, table_change& change)
@@ -75,8 +75,7 @@
     if (found == table.servers.end())
         return;
     found->second->is_removed = true;
-    if (found->second->limit || found->second->has_announced_leaving)
-        remember_notices(table, found->second);
+    remember_removed(table, found->second);
     remove_from_service(table, found->second);
     table.by_hash.erase(found->second->hash);
     table.servers.erase(found);
@@ -89,21 +88,38 @@
            server.record.service != record.service || server.record.address != record.address;
 }
 
+std::deque<server_pointer>::iterator find_removed(server_table& table,
+                                                  fleet::backend_server const& record)
+{
+    return std::find_if(table.removed_servers.begin(),
+                        table.removed_servers.end(),
+                        [&record](server_pointer const& removed)
+                        {
+                            return removed->record.id == record.id &&
+                                   !is_new_incarnation(*removed, record);
+                        });
+}
+
 // Takes over what the same incarnation said of itself before it was removed.
 void restore_notices(server_table& table, known_server& server)
 {
-    auto const found = std::find_if(table.removed_with_notices.begin(),
-                                    table.removed_with_notices.end(),
-                                    [&server](server_pointer const& removed)
-                                    {
-                                        return removed->record.id == server.record.id &&
-                                               !is_new_incarnation(*removed, server.record);
-                                    });
-    if (found == table.removed_with_notices.end())
+    auto const found = find_removed(table, server.record);
+    if (found == table.removed_servers.end())
         return;
     server.limit = (*found)->limit;
     server.has_announced_leaving = (*found)->has_announced_leaving;
-    table.removed_with_notices.erase(found);
+    server.record.is_leaving = server.record.is_leaving || (*found)->record.is_leaving;
+    table.removed_servers.erase(found);
+}
+
+// Returns whether the entry is the one that a server left when it was removed, or an earlier one. A
+// server that lives reports again.
+bool is_left_over(server_table& table, fleet::backend_server const& record)
+{
+    if (record.report == 0 || table.servers.contains(record.id))
+        return false;
+    auto const found = find_removed(table, record);
+    return found != table.removed_servers.end() && record.report <= (*found)->record.report;
 }
 
 void add_server(server_table& table, fleet::backend_server const& record, table_change& change)
@@ -140,12 +156,16 @@
         found = table.servers.find(record.id);
     }
     auto& server = *found->second;
-    if (record.is_leaving && !server.record.is_leaving)
+    server.missing_since.reset();
+    if (record.report != 0 && record.report < server.record.report)
+        return;
+    bool const was_leaving = server.record.is_leaving;
+    if (record.is_leaving && !was_leaving)
         change.removed_or_leaving.push_back(record.id);
     server.record = record;
+    server.record.is_leaving = record.is_leaving || was_leaving;
     server.version = item.version;
     server.cold_until = now + record.cold_remaining;
-    server.missing_since.reset();
 }
 
 bool is_in_grace_period(server_table const& table, kernel::monotonic_time now)
@@ -182,6 +202,8 @@
             handle_missing_server(table, item.name, change, now);
             continue;
         }
+        if (update.is_complete && is_left_over(table, *item.record))
+            continue;
         upsert(table, item, change, now);
         present.insert(item.name);
     }
@@ -243,8 +265,6 @@
     auto const found = table.servers.find(server->record.id);
     if (found != table.servers.end() && !is_new_incarnation(*found->second, server->record))
         found->second->has_announced_leaving = true;
-    else
-        remember_notices(table, server);
     return true;
 }
 
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -105,17 +105,18 @@
     routing::text_map<std::vector<server_pointer>> by_service;
     std::unordered_map<std::uint64_t, server_pointer> by_hash;
     std::set<std::string, std::less<>> evacuated_domains;
-    /// Servers that were removed after they had said something of themselves, the oldest first. The
-    /// registration of a server that lost the store lapses and returns while the server runs on.
-    std::deque<server_pointer> removed_with_notices;
+    /// Servers that were removed, the oldest first. The registration of a server that lost the
+    /// store lapses and returns while the server runs on, and a store that was restored from an
+    /// older copy lists servers that are gone.
+    std::deque<server_pointer> removed_servers;
     /// When the store became reachable again after an outage.
     std::optional<kernel::monotonic_time> store_recovered_at;
     /// Whether a complete list of the registered servers has been read.
     bool is_loaded = false;
 };
 
-/// Maximum number of removed servers that are remembered for what they said of themselves.
-inline constexpr std::size_t max_removed_with_notices = 256;
+/// Maximum number of removed servers that are remembered.
+inline constexpr std::size_t max_removed_servers = 1024;
 
 /// Time after a store outage within which servers renew registrations that expired during it.
 inline constexpr auto expired_entry_grace = std::chrono::milliseconds(2200);
@@ -129,7 +130,8 @@
 };
 
 /// Applies changes that were read from the store. A backend server that restarts under its id is
-/// added as a new server without load or failure history.
+/// added as a new server without load or failure history. Older reports of a known incarnation are
+/// ignored, and one that leaves does not become ready again.
 table_change apply(server_table& table,
                    events::store_update<fleet::backend_server> const& update,
                    kernel::monotonic_time now);
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -41,11 +41,11 @@
         return server;
     }
 
-    void apply_record(fleet::backend_server const& server)
+    void apply_record(fleet::backend_server const& server, bool is_complete = false)
     {
         gateway::apply(
             m_table,
-            events::store_update<fleet::backend_server>{false, 1, {{server.id, 1, server}}},
+            events::store_update<fleet::backend_server>{is_complete, 1, {{server.id, 1, server}}},
             m_now);
     }
 
@@ -204,6 +204,51 @@
     CHECK(m_table.servers.contains("i-2"));
 }
 
+// Guards against requests to servers that had left, when the store comes back from a copy in which
+// they are still ready.
+TEST_CASE_METHOD(server_table_fixture,
+                 "server_table_older_copy_makes_no_left_server_usable",
+                 "[gateway]")
+{
+    auto server = make_server("i-1");
+    server.report = 5;
+    server.is_leaving = true;
+    apply_record(server);
+    bool const is_gone = GENERATE(false, true);
+    if (is_gone)
+        remove("i-1");
+    auto copied = make_server("i-1");
+    copied.report = 3;
+    apply_record(copied, true);
+    CHECK(usable_count() == 0);
+    CHECK(m_table.servers.empty() == is_gone);
+    // It runs on for a while. A late report does not take its leaving back.
+    copied.report = 6;
+    apply_record(copied);
+    CHECK(m_table.servers.size() == 1);
+    CHECK(usable_count() == 0);
+    ++copied.started_at_ms;
+    copied.report = 1;
+    apply_record(copied);
+    CHECK(usable_count() == 1);
+}
+
+// A server whose entry lapsed runs on and reports again; its entry in an older copy proves nothing.
+TEST_CASE_METHOD(server_table_fixture,
+                 "server_table_removed_server_is_used_after_a_newer_report",
+                 "[gateway]")
+{
+    auto server = make_server("i-1");
+    server.report = 5;
+    apply_record(server);
+    remove("i-1");
+    apply_record(server, true);
+    CHECK(usable_count() == 0);
+    ++server.report;
+    apply_record(server, GENERATE(false, true));
+    CHECK(usable_count() == 1);
+}
+
 TEST_CASE_METHOD(server_table_fixture, "server_load_of_others_decays", "[gateway]")
 {
     apply_record(make_server("i-1"));
