gateway: Keep evacuations that a restored store has lost

Cause: a complete list replaces all evacuations, so one that the copy lacks ended at once, although the operator writes it again soon. Change: in the first list after a restore, evacuations that are missing hold for 5 s unless they are written again; then they end, with a log line. One that was taken back since the copy begins again until the operator's removal is repeated; that costs room and breaks nothing. Conclusion: which of what was lost is written again, and when, is the operator's; beyond 5 s the store is believed.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -738,6 +738,11 @@
         release_held(now);
     end_expired(now);
     log_lost_servers(remove_expired(m_servers, now), "missing_after_outage");
+    for (auto const& domain : end_lost_evacuations(m_servers, now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "evacuation_ended",
+                          {{"failure_domain", std::string_view(domain)}, {"version", 0}});
     for (auto& [service, state] : m_services)
     {
         if (!state.waiting.empty())
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -144,7 +144,7 @@
 void dispatcher::apply(events::store_update<events::evacuation> const& update,
                        kernel::monotonic_time now)
 {
-    gateway::apply(m_servers, update);
+    gateway::apply(m_servers, update, now);
     for (auto const& object : update.changes)
         kernel::log_event(
             kernel::log_level::info,
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace pistachiohub::gateway
@@ -227,19 +228,39 @@
         table.store_recovered_at = now;
 }
 
-void apply(server_table& table, events::store_update<events::evacuation> const& update)
+void apply(server_table& table,
+           events::store_update<events::evacuation> const& update,
+           kernel::monotonic_time now)
 {
-    if (update.is_complete)
+    if (update.is_complete && !update.is_restored)
         table.evacuated_domains.clear();
+    if (update.is_restored)
+    {
+        for (auto& [domain, ends_at] : table.evacuated_domains)
+            ends_at = now + restored_evacuation_grace;
+    }
     for (auto const& item : update.changes)
     {
         if (item.record)
-            table.evacuated_domains.insert(item.name);
+            table.evacuated_domains.insert_or_assign(item.name, std::nullopt);
         else
             table.evacuated_domains.erase(item.name);
     }
 }
 
+std::vector<std::string> end_lost_evacuations(server_table& table, kernel::monotonic_time now)
+{
+    std::vector<std::string> ended;
+    for (auto const& [domain, ends_at] : table.evacuated_domains)
+    {
+        if (ends_at && now >= *ends_at)
+            ended.push_back(domain);
+    }
+    for (auto const& domain : ended)
+        table.evacuated_domains.erase(domain);
+    return ended;
+}
+
 std::vector<std::string> remove_expired(server_table& table, kernel::monotonic_time now)
 {
     table_change change;
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -104,7 +103,9 @@
     routing::text_map<server_pointer> servers;
     routing::text_map<std::vector<server_pointer>> by_service;
     std::unordered_map<std::uint64_t, server_pointer> by_hash;
-    std::set<std::string, std::less<>> evacuated_domains;
+    /// Evacuated domains. One that was missing in the list of a restored store ends at the given
+    /// time, unless it is written again.
+    std::map<std::string, std::optional<kernel::monotonic_time>, std::less<>> evacuated_domains;
     /// Servers that were removed, the oldest first. The registration of a server that lost the
     /// store lapses and returns while the server runs on, and a store that was restored from an
     /// older copy lists servers that are gone.
@@ -121,6 +122,10 @@
 /// Time after a store outage within which servers renew registrations that expired during it.
 inline constexpr auto expired_entry_grace = std::chrono::milliseconds(2200);
 
+/// Time within which an evacuation is written again that the store lost when it was restored from
+/// an older copy.
+inline constexpr auto restored_evacuation_grace = std::chrono::seconds(5);
+
 /// Ids of the backend servers that an update added, and of those that it removed or marked as
 /// leaving.
 struct table_change
@@ -140,7 +145,13 @@
 void apply_store_state(server_table& table, bool is_reachable, kernel::monotonic_time now);
 
 /// Applies changes to the evacuated failure domains that were read from the store.
-void apply(server_table& table, events::store_update<events::evacuation> const& update);
+void apply(server_table& table,
+           events::store_update<events::evacuation> const& update,
+           kernel::monotonic_time now);
+
+/// Ends the evacuations that a restored store has lost and that were not written again in time.
+/// @returns the failure domains.
+std::vector<std::string> end_lost_evacuations(server_table& table, kernel::monotonic_time now);
 
 /// Removes the servers that are still missing when the grace period after a store outage has ended.
 /// @returns the ids of the removed servers.
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -104,6 +104,14 @@
             m_now);
     }
 
+    void apply_restored_list(std::vector<fleet::entry_host> const& listed)
+    {
+        events::store_update<fleet::entry_host> update{true, 1, {}, true};
+        for (auto const& host : listed)
+            update.changes.push_back({host.name, 1, host});
+        gateway::apply(m_table, update, m_now);
+    }
+
     /// Adds a confirmed host that offers a relay.
     void add_live_host(std::string const& name, std::string const& domain)
     {
