gateway: Keep hosts that a restored store has lost

Cause: a complete list of entry hosts replaces the known ones. After the store came back from an older copy, hosts that registered since were dropped, so that the others took their shares of the fleet's budgets while they still used them, and the directory lacked them. Found by reading for the class of the faults before. Change: the first list after a restore drops no host and no report that is older than the known one counts. Before / after: host_table_older_copy_* need the new field, so they were not run before; they pass.

--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -29,6 +29,35 @@
     return known.record.incarnation != record.incarnation || known.record.report != record.report;
 }
 
+// A store that was restored from an older copy lists earlier reports of known hosts.
+bool is_older_report(known_host const& known, fleet::entry_host const& record)
+{
+    return std::tie(record.incarnation, record.report) <
+           std::tie(known.record.incarnation, known.record.report);
+}
+
+void mark_unlisted(host_table& table, events::store_update<fleet::entry_host> const& update)
+{
+    for (auto& [name, host] : table.hosts)
+        host.is_missing = std::none_of(update.changes.begin(),
+                                       update.changes.end(),
+                                       [&name = name](auto const& item)
+                                       {
+                                           return item.record && item.name == name;
+                                       });
+}
+
+// Erases missing hosts: all, or only those that have been silent.
+void erase_missing(host_table& table, kernel::monotonic_time now, bool erases_all)
+{
+    std::erase_if(table.hosts,
+                  [now, erases_all](auto const& entry)
+                  {
+                      return entry.second.is_missing &&
+                             (erases_all || now - entry.second.reported_at >= share_timeout);
+                  });
+}
+
 /// @returns this host and the live hosts that have the same value of `attribute` and offer a relay.
 std::vector<fleet::entry_host const*> select_group(host_table const& table,
                                                    kernel::monotonic_time now,
@@ -69,17 +98,10 @@
     if (update.is_complete)
     {
         table.is_loaded = true;
-        std::erase_if(table.hosts,
-                      [&update](auto const& entry)
-                      {
-                          return std::none_of(update.changes.begin(),
-                                              update.changes.end(),
-                                              [&entry](auto const& item)
-                                              {
-                                                  return item.record && item.name == entry.first;
-                                              });
-                      });
+        mark_unlisted(table, update);
     }
+    // A host that the copy of a restored store lacks still uses its share of the budgets.
+    erase_missing(table, now, update.is_complete && !update.is_restored);
     for (auto const& item : update.changes)
     {
         if (item.name == table.own.name)
@@ -94,6 +116,9 @@
             continue;
         }
         auto& host = table.hosts[item.name];
+        host.is_missing = false;
+        if (update.is_restored && is_older_report(host, *item.record))
+            continue;
         if (is_new_report(host, *item.record))
         {
             if (!update.is_complete)
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -24,6 +24,9 @@
     /// Whether a new report of the host, or of the reader that lists it as a follower, was seen to
     /// arrive. An object in the store alone may have been left by a host that is gone.
     bool is_confirmed = false;
+    /// Whether the host was missing in the list of a store that was restored from an older copy,
+    /// and has not registered again since.
+    bool is_missing = false;
 };
 
 /// All entry hosts that registered themselves.
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -171,13 +171,37 @@
     apply_record(make_server("i-1", "sve-b"));
     gateway::apply(m_table,
                    events::store_update<events::evacuation>{
-                       false, 1, {{"sve-b", 1, events::evacuation{"sve-b"}}}});
+                       false, 1, {{"sve-b", 1, events::evacuation{"sve-b"}}}},
+                   m_now);
     CHECK(usable_count() == 0);
-    gateway::apply(
-        m_table, events::store_update<events::evacuation>{false, 2, {{"sve-b", 2, std::nullopt}}});
+    gateway::apply(m_table,
+                   events::store_update<events::evacuation>{false, 2, {{"sve-b", 2, std::nullopt}}},
+                   m_now);
     CHECK(usable_count() == 1);
 }
 
+// Guards against requests to an evacuated failure domain, when the store comes back from a copy
+// that is older than the evacuation.
+TEST_CASE_METHOD(server_table_fixture,
+                 "server_table_evacuation_outlives_an_older_copy",
+                 "[gateway]")
+{
+    apply_record(make_server("i-1", "sve-b"));
+    events::store_update<events::evacuation> const written{
+        false, 9, {{"sve-b", 9, events::evacuation{"sve-b"}}}};
+    gateway::apply(m_table, written, m_now);
+    gateway::apply(m_table, events::store_update<events::evacuation>{true, 5, {}, true}, m_now);
+    m_now += gateway::restored_evacuation_grace - milliseconds(1);
+    CHECK(gateway::end_lost_evacuations(m_table, m_now).empty());
+    CHECK(usable_count() == 0);
+    bool const is_written_again = GENERATE(false, true);
+    if (is_written_again)
+        gateway::apply(m_table, written, m_now);
+    m_now += milliseconds(1);
+    CHECK(gateway::end_lost_evacuations(m_table, m_now).size() == (is_written_again ? 0 : 1));
+    CHECK(usable_count() == (is_written_again ? 0 : 1));
+}
+
 // Registrations expire while the store is unreachable and are renewed within two seconds of its
 // recovery. Removing them at once would leave the service without any server.
 TEST_CASE_METHOD(server_table_fixture,
@@ -455,4 +479,37 @@
     CHECK(gateway::is_live(m_table, m_table.hosts.at("follower"), m_now) == is_same_start);
 }
 
+// Guards against budgets that are split among too few hosts, and a directory that lacks hosts, when
+// the store comes back from a copy that is older than their registrations.
+TEST_CASE_METHOD(host_table_fixture,
+                 "host_table_older_copy_drops_no_host_that_reported",
+                 "[gateway]")
+{
+    add_live_host("a", "sve-a");
+    add_live_host("b", "sve-a");
+    apply_restored_list({make_host("a", "sve-a", 1)});
+    for (auto const* const name : {"a", "b"})
+        CHECK(gateway::is_live(m_table, m_table.hosts.at(name), m_now));
+    CHECK(gateway::budget_sharing_hosts(m_table, m_now).size() == 3);
+    CHECK(m_table.hosts.at("a").record.report == 2);
+    // One that does not register again is dropped like any other that went silent.
+    m_now += gateway::share_timeout;
+    apply_record(make_host("a", "sve-a", 3));
+    CHECK(m_table.hosts.size() == 1);
+}
+
+// Guards against a directory that names hosts that ended, since the older copy still lists them.
+TEST_CASE_METHOD(host_table_fixture, "host_table_older_copy_makes_no_ended_host_live", "[gateway]")
+{
+    add_live_host("a", "sve-a");
+    bool const is_removed = GENERATE(false, true);
+    m_now += gateway::host_timeout;
+    if (is_removed)
+        gateway::apply(m_table,
+                       events::store_update<fleet::entry_host>{false, 2, {{"a", 2, std::nullopt}}},
+                       m_now);
+    apply_restored_list({make_host("a", "sve-a", 1)});
+    CHECK_FALSE(gateway::is_live(m_table, m_table.hosts.at("a"), m_now));
+}
+
 } // namespace pistachiohub
