gateway: Send nothing to a server that asks for a pause

Change: platform/ decodes the pause of a refusal; the server table keeps it for the incarnation, also over a lapsed registration. It ends up to a fifth later at random, so that hosts do not return together. Requests that only this server could serve are refused at once, with a Retry-After that is not shorter than the pause. Ruled out: a probe during the pause, which the rule permits; the answer would be the same refusal. A date in the header is ignored, without a warning. Before / after: gateway_server_that_wants_a_pause_gets_no_request failed on (the second request was sent) and passes; 245 tests of gateway and platform pass (release build).

--- a/libraries/interface/interface.hpp
+++ b/libraries/interface/interface.hpp
@@ -35,6 +35,8 @@
     std::optional<double> max_requests_per_second;
     /// Whether the server says that it leaves and wants no further requests.
     bool is_leaving = false;
+    /// Time for which the server, which refuses this request, wants no further one of this host.
+    std::optional<std::chrono::milliseconds> wanted_pause;
     /// Whether a part of the notice cannot be read. That part says nothing then.
     bool is_malformed = false;
 };
@@ -61,8 +63,8 @@
     std::string_view not_started;
     /// Running requests, waiting requests and slots of the backend server.
     std::string_view load;
-    /// Reads what an answer says of its backend server.
-    server_notice (*read_notice)(header_lookup const& headers) = nullptr;
+    /// Reads what an answer with the given status says of its backend server.
+    server_notice (*read_notice)(unsigned status, header_lookup const& headers) = nullptr;
 };
 
 /// Kinds of objects in the store.
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -391,6 +391,8 @@
     ++request->awaited_server->own_queued;
     if (auto const& limit = request->awaited_server->limit)
         wait_seconds = std::max(wait_seconds, seconds_until_permitted(*limit, now));
+    wait_seconds =
+        std::max(wait_seconds, seconds_value(request->awaited_server->paused_until - now).count());
     auto const waited = seconds_value(now - request->arrived_at).count();
     auto const target = seconds_value(request->route->target_latency).count();
     bool const has_time = now + min_run_time < request->answer_deadline;
@@ -588,27 +590,34 @@
     auto response = make_refusal(reported_cause, std::nullopt);
     constexpr unsigned not_run = 503;
     if (response.status == not_run)
-        response = make_refusal(reported_cause,
-                                cause == refusal::unreadable_configuration
-                                    ? max_retry_after
-                                    : retry_after(state_of(request->service)));
+        response =
+            make_refusal(reported_cause,
+                         cause == refusal::unreadable_configuration ? max_retry_after
+                                                                    : retry_after(*request, now));
     m_metrics
         .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(reported_cause)})
         .increment();
     finish(request, std::move(response), to_string(cause), now);
 }
 
-milliseconds dispatcher::retry_after(service_state const& state)
+milliseconds dispatcher::retry_after(gateway_request const& request, kernel::monotonic_time now)
 {
+    auto const& state = state_of(request.service);
     auto const running = static_cast<double>(std::max<std::size_t>(state.running, 1));
     auto const expected_wait =
         (static_cast<double>(state.waiting.size()) + 1) * state.smoothed_run_seconds / running;
     // Jitter spreads the retries of callers that were refused together over the time in which slots
     // are released.
     auto const jittered_wait = expected_wait * (0.5 + m_actions.random());
-    return std::clamp(std::chrono::duration_cast<milliseconds>(seconds_value(jittered_wait)),
-                      min_retry_after,
-                      max_retry_after);
+    auto const wait =
+        std::clamp(std::chrono::duration_cast<milliseconds>(seconds_value(jittered_wait)),
+                   min_retry_after,
+                   max_retry_after);
+    if (!request.awaited_server)
+        return wait;
+    // Whoever comes back during the pause of the server is refused again.
+    return std::max(wait,
+                    std::chrono::ceil<milliseconds>(request.awaited_server->paused_until - now));
 }
 
 void dispatcher::end_request(gateway_request& request)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -233,7 +233,9 @@
     void refuse(request_pointer const& request, refusal cause, kernel::monotonic_time now);
     /// Moves the request to its final state and records its outcome.
     void end_request(gateway_request& request);
-    [[nodiscard]] std::chrono::milliseconds retry_after(service_state const& state);
+    /// @returns after which time the refused caller is to come back.
+    [[nodiscard]] std::chrono::milliseconds retry_after(gateway_request const& request,
+                                                        kernel::monotonic_time now);
     /// Sets the server for a slot of which the request waits, null for none, and updates the counts
     /// of waiting requests.
     static void set_awaited_server(gateway_request& request, server_pointer const& server);
@@ -253,6 +255,8 @@
                           std::size_t crashes,
                           kernel::monotonic_time now);
     void log_malformed_notice(known_server& server);
+    void
+    apply_pause(known_server& server, std::chrono::milliseconds wanted, kernel::monotonic_time now);
     void apply_limit(known_server& server,
                      std::optional<double> const& named,
                      kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_notices.cpp
+++ b/plugins/gateway/dispatcher_notices.cpp
@@ -3,9 +3,19 @@
 
 #include "plugins/gateway/dispatcher.hpp"
 
+#include <algorithm>
+
 namespace pistachiohub::gateway
 {
 
+namespace
+{
+
+// Part of a pause by which its end is put off at random, so that hosts do not return together.
+constexpr double pause_spread = 0.2;
+
+} // namespace
+
 void dispatcher::server_notice_received(gateway_request const& request,
                                         interface::server_notice const& notice,
                                         kernel::monotonic_time now)
@@ -16,6 +26,8 @@
         m_metrics.find_counter("pistachiohub_gateway_leaving_notices_total").increment();
         log_lost_servers({server.record.id}, "announced");
     }
+    if (notice.wanted_pause)
+        apply_pause(server, *notice.wanted_pause, now);
     if (notice.is_malformed)
         return log_malformed_notice(server);
     apply_limit(server, notice.max_requests_per_second, now);
@@ -32,6 +44,25 @@
                       {{"server", std::string_view(server.record.id)}});
 }
 
+void dispatcher::apply_pause(known_server& server,
+                             std::chrono::milliseconds wanted,
+                             kernel::monotonic_time now)
+{
+    auto const spread =
+        std::chrono::duration<double, std::milli>(wanted) * (1 + pause_spread * m_actions.random());
+    server.paused_until = std::max<kernel::monotonic_time>(
+        server.paused_until, now + std::chrono::duration_cast<kernel::duration>(spread));
+    m_metrics.find_counter("pistachiohub_gateway_server_pauses_total").increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "server_paused",
+                          {{"server", std::string_view(server.record.id)},
+                           {"service", std::string_view(server.record.service)},
+                           {"wanted_ms", wanted.count()},
+                           {"suppressed", m_request_log.take_suppressed()}});
+}
+
 void dispatcher::apply_limit(known_server& server,
                              std::optional<double> const& named,
                              kernel::monotonic_time now)
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -363,11 +363,11 @@
     // Another server answers there.
     if (received.status == misdirected_request)
         return;
-    handlers.notice_received(names.read_notice(
-        [this](std::string_view name)
-        {
-            return find_header_value(received.headers, name);
-        }));
+    handlers.notice_received(names.read_notice(received.status,
+                                               [this](std::string_view name)
+                                               {
+                                                   return find_header_value(received.headers, name);
+                                               }));
 }
 
 bool server_connection::implementation::should_stream() const
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -108,6 +108,7 @@
     if (found == table.removed_servers.end())
         return;
     server.limit = (*found)->limit;
+    server.paused_until = (*found)->paused_until;
     server.has_announced_leaving = (*found)->has_announced_leaving;
     server.record.is_leaving = server.record.is_leaving || (*found)->record.is_leaving;
     table.removed_servers.erase(found);
@@ -305,7 +306,8 @@
 
 bool is_open(known_server const& server, kernel::monotonic_time now)
 {
-    return now >= server.backoff_until && (!server.limit || may_send(*server.limit, now));
+    return now >= server.backoff_until && now >= server.paused_until &&
+           (!server.limit || may_send(*server.limit, now));
 }
 
 double usable_slots(known_server const& server, double run_seconds)
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -72,6 +72,8 @@
     /// The server is not chosen before this time, because it refused a request or failed.
     kernel::monotonic_time backoff_until;
     std::uint32_t consecutive_failures = 0;
+    /// The server wants no request of this host before this time.
+    kernel::monotonic_time paused_until;
     /// Whether a probe of the server's address is in progress, which shows if anything listens
     /// there.
     bool is_probe_pending = false;
@@ -170,8 +172,8 @@
 /// is not in an evacuated failure domain.
 [[nodiscard]] bool is_usable(server_table const& table, known_server const& server);
 
-/// @returns whether a request may be sent to the server now: it is not avoided after a failure, and
-/// its limit permits a request of this daemon.
+/// @returns whether a request may be sent to the server now: it is not avoided after a failure,
+/// wants no pause, and its limit permits a request of this daemon.
 [[nodiscard]] bool is_open(known_server const& server, kernel::monotonic_time now);
 
 /// @returns the slots that can be used within the limit that the server names.
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -587,6 +587,30 @@
     CHECK(m_sent.size() == 2);
 }
 
+// Guards against a pause that ends early or not at all. It is the server's word, so that it
+// outlives a lapsed registration.
+TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_paused_server_is_used_when_it_ends", "[gateway]")
+{
+    add_server("b-1", "sve-a", 10);
+    auto const request = begin("/o/1");
+    interface::server_notice notice;
+    notice.wanted_pause = milliseconds(3000);
+    m_dispatcher->server_notice_received(*request, notice, m_now);
+    auto const told_at = m_now;
+    end(request, gateway::attempt_result::not_started, 503);
+    if (GENERATE(false, true))
+    {
+        remove_server("b-1");
+        add_server("b-1", "sve-a", 10);
+    }
+    m_now = told_at + milliseconds(2990);
+    CHECK(status_of(begin("/i/2")) == 503);
+    CHECK(m_sent.size() == 1);
+    m_now = told_at + milliseconds(3600);
+    begin("/i/3");
+    CHECK(m_sent.size() == 2);
+}
+
 // Guards against a limit that is forgotten when the registration of the server lapses and returns,
 // as after an outage of the store. Another process under the same id has named none.
 TEST_CASE_METHOD(dispatcher_fixture, "dispatcher_limit_outlives_a_lapsed_registration", "[gateway]")
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -727,4 +727,26 @@
     CHECK(caller.receive_message().starts_with("HTTP/1.1 503 "));
 }
 
+// Guards against requests to a server that turned one away and asked for a pause. Callers are told
+// to come back when it is over.
+TEST_CASE_METHOD(gateway_fixture, "gateway_server_that_wants_a_pause_gets_no_request", "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("1"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("HTTP/1.1 503 Busy\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nRetry-After: 5\r\n"
+                "Content-Length: 0\r\n\r\n");
+    CHECK(caller.receive_message().starts_with("HTTP/1.1 503 "));
+    // Past the time for which any server that failed is avoided.
+    std::this_thread::sleep_for(milliseconds(200));
+    caller.send(get("2"));
+    auto const refused = caller.receive_message();
+    CHECK(refused.starts_with("HTTP/1.1 503 "));
+    auto const value = refused.find("Retry-After: ");
+    REQUIRE(value != std::string::npos);
+    constexpr std::size_t name_length = 13;
+    CHECK(std::stod(refused.substr(value + name_length)) > 4);
+}
+
 } // namespace pistachiohub
--- a/tests/platform/server_notice_test.cpp
+++ b/tests/platform/server_notice_test.cpp
@@ -10,13 +10,15 @@
 namespace
 {
 
-interface::server_notice read_header(std::string_view header, std::string const& value)
+interface::server_notice
+read_header(std::string_view header, std::string const& value, unsigned status = 503)
 {
-    return platform::read_server_notice(
-        [header, &value](std::string_view name)
-        {
-            return name == header ? std::string_view(value) : std::string_view();
-        });
+    return platform::read_server_notice(status,
+                                        [header, &value](std::string_view name)
+                                        {
+                                            return name == header ? std::string_view(value)
+                                                                  : std::string_view();
+                                        });
 }
 
 interface::server_notice read_limit(std::string const& value)
@@ -43,6 +45,19 @@
     CHECK(read_header("Server-Leaving", "yes").is_malformed);
 }
 
+// Only a refusal asks for a pause; another answer with the header speaks to the caller.
+TEST_CASE("server_notice_pause_of_a_refusal_is_read", "[platform]")
+{
+    using std::chrono::milliseconds;
+    CHECK(read_header("Retry-After", "2").wanted_pause == milliseconds(2000));
+    CHECK(read_header("Retry-After", "0.25").wanted_pause == milliseconds(250));
+    CHECK_FALSE(read_header("Retry-After", "2", 200).wanted_pause);
+    CHECK_FALSE(read_header("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT").wanted_pause);
+    for (auto const* const value : {"-1", "1e9", "99999999", "inf"})
+        CHECK_FALSE(read_header("Retry-After", value).wanted_pause);
+    CHECK(read_header("Retry-After", "99999999").is_malformed);
+}
+
 // Any bytes may come from a faulty server.
 TEST_CASE("server_notice_absurd_limit_is_ignored", "[platform]")
 {
