gateway: Apply a limit beside a notice that cannot be read

Cause: a notice with any part that cannot be read was dropped whole. Since servers say more than one thing, an unreadable word on leaving hid a good limit, against what the type promises. Change: only a limit that cannot be read leaves the one before as it is. Before / after: dispatcher_limit_outlives_a_lapsed_registration asks for it with one check more: 1 of its assertions failed before, none now.

--- a/plugins/gateway/dispatcher_notices.cpp
+++ b/plugins/gateway/dispatcher_notices.cpp
@@ -29,8 +29,10 @@
     if (notice.wanted_pause)
         apply_pause(server, *notice.wanted_pause, now);
     if (notice.is_malformed)
-        return log_malformed_notice(server);
-    apply_limit(server, notice.max_requests_per_second, now);
+        log_malformed_notice(server);
+    // A limit that cannot be read does not end the one before.
+    if (notice.max_requests_per_second || !notice.is_malformed)
+        apply_limit(server, notice.max_requests_per_second, now);
 }
 
 void dispatcher::log_malformed_notice(known_server& server)
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -620,6 +620,8 @@
     REQUIRE(m_sent.size() == 1);
     interface::server_notice notice;
     notice.max_requests_per_second = 0;
+    // A part that cannot be read does not hide the rest.
+    notice.is_malformed = GENERATE(false, true);
     m_dispatcher->server_notice_received(*request, notice, m_now);
     end(request, gateway::attempt_result::answered);
     remove_server("b-1");
