tests: Ask again for numbers in the questions between daemons

Cause: since a question names a generation. Two malformed questions of relay_dialect_malformed_question_is_refused lacked it, so they were refused for that and no longer for their numbers: the check had become weaker.

--- a/tests/discovery/feed_history_test.cpp
+++ b/tests/discovery/feed_history_test.cpp
@@ -202,8 +202,8 @@
                                std::string("/v1/changes/servers"),
                                std::string("/v1/changes/servers/host-1/x"),
                                std::string("/other"));
-    auto const query = GENERATE(std::string("after=1&wait_ms=x"),
-                                std::string("after=-1&wait_ms=2"),
+    auto const query = GENERATE(std::string("after=1&wait_ms=x&generation=3"),
+                                std::string("after=-1&wait_ms=2&generation=3"),
                                 std::string("after=1"),
                                 std::string("after=1&wait_ms=2"),
                                 std::string("after=1&wait_ms=2&generation=x"),
