--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -130,6 +130,16 @@
     return refusal::malformed;
 }
 
+/// @returns why a read from a caller failed, for logs and metric labels.
+std::string_view cause_of_end(error_code failure)
+{
+    if (failure == asio::error::eof)
+        return "caller_closed";
+    if (failure == asio::error::timed_out)
+        return "caller_silent";
+    return "caller_reset";
+}
+
 class session;
 
 } // namespace
@@ -391,7 +401,7 @@
         if (m_is_lingering)
             return failure ? close("closed") : discard();
         if (failure)
-            return abandon("caller_closed");
+            return abandon(cause_of_end(failure));
         if (!m_is_last)
             accept_input(bytes);
         read();
@@ -650,7 +660,7 @@
                 continue;
             m_shared->waiting.erase(open.request->number);
             if (!is_answered(open))
-                m_shared->events.caller_disconnected(open.request);
+                m_shared->events.caller_disconnected(open.request, cause);
         }
     }
 
--- a/plugins/gateway/caller_server.hpp
+++ b/plugins/gateway/caller_server.hpp
@@ -27,7 +27,8 @@
     /// The caller has taken most of what stream() added to the answer; more may follow.
     std::function<void(request_pointer const&)> stream_drained;
     /// The connection of the caller closed before the request was answered.
-    std::function<void(request_pointer const&)> caller_disconnected;
+    /// @param cause which side closed it and why, for logs and metric labels.
+    std::function<void(request_pointer const&, std::string_view cause)> caller_disconnected;
 };
 
 /// Limits on the resources that all callers together may use.
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -555,7 +555,9 @@
         state_of(request->service).waiting.remove(request);
 }
 
-void dispatcher::caller_gone(request_pointer const& request, kernel::monotonic_time now)
+void dispatcher::caller_gone(request_pointer const& request,
+                             std::string_view cause,
+                             kernel::monotonic_time now)
 {
     if (request->state == request_state::ended)
         return;
@@ -571,14 +573,18 @@
         remove_waiting(request);
     request->may_have_run = request->may_have_run || was_running;
     end_request(*request);
-    m_metrics.find_counter("pistachiohub_gateway_callers_gone_total").increment();
+    m_metrics.find_counter("pistachiohub_gateway_callers_gone_total", {"cause", cause}).increment();
     if (m_request_log.admit(now))
-        kernel::log_event(kernel::log_level::info,
-                          "gateway",
-                          "caller_gone",
-                          {{"id", std::string_view(request->id)},
-                           {"was_running", static_cast<int>(was_running)},
-                           {"after_ms", ms_between(request->arrived_at, now)}});
+        kernel::log_event(
+            kernel::log_level::info,
+            "gateway",
+            "caller_gone",
+            {{"id", std::string_view(request->id)},
+             {"cause", cause},
+             {"was_running", static_cast<int>(was_running)},
+             {"server", request->server ? std::string_view(request->server->record.id) : "-"},
+             {"after_ms", ms_between(request->arrived_at, now)},
+             {"run_ms", was_running ? ms_between(request->sent_at, now) : 0}});
     if (was_running)
         send_waiting(service, now);
 }
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -175,9 +175,11 @@
     /// crashed.
     void server_checked(server_pointer const& server, bool is_refused, kernel::monotonic_time now);
 
-    /// Handles that the caller has closed its connection: cancels the request if it is running and
-    /// removes it from the queue if it is waiting.
-    void caller_gone(request_pointer const& request, kernel::monotonic_time now);
+    /// Handles that the connection of the caller has closed: cancels the request if it is running
+    /// and removes it from the queue if it is waiting.
+    /// @param cause which side closed it and why, for logs and metric labels.
+    void
+    caller_gone(request_pointer const& request, std::string_view cause, kernel::monotonic_time now);
 
     /// Ends requests whose deadline has passed, sends waiting ones and adapts the spillover to the
     /// load.
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -267,9 +267,9 @@
             m_dispatcher.begin(request, kernel::monotonic_now());
             arm_timer();
         };
-        events.caller_disconnected = [this](request_pointer const& request)
+        events.caller_disconnected = [this](request_pointer const& request, std::string_view cause)
         {
-            m_dispatcher.caller_gone(request, kernel::monotonic_now());
+            m_dispatcher.caller_gone(request, cause, kernel::monotonic_now());
         };
         return events;
     }
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -324,8 +324,11 @@
 void server_connection::implementation::on_end_of_input(error_code failure)
 {
     bool const is_closed = failure == asio::error::eof;
-    if (!is_closed || !answer_parser->got_some())
-        return finish(attempt_result::broken, is_closed ? "closed" : "broken");
+    if (!is_closed)
+        return finish(attempt_result::broken,
+                      failure == asio::error::timed_out ? "silent" : "reset");
+    if (!answer_parser->got_some())
+        return finish(attempt_result::broken, "closed");
     error_code incomplete;
     answer_parser->put_eof(incomplete);
     if (incomplete || !answer_parser->is_done())
--- a/tests/gateway/dispatcher_test.cpp
+++ b/tests/gateway/dispatcher_test.cpp
@@ -190,11 +190,11 @@
     add_server("i-1");
     auto const running = begin("/o/1");
     auto const waiting = begin("/o/2");
-    m_dispatcher->caller_gone(running, m_now);
+    m_dispatcher->caller_gone(running, "caller_closed", m_now);
     CHECK(m_cancelled.size() == 1);
     REQUIRE(m_sent.size() == 2);
     CHECK(m_sent.back() == waiting);
-    m_dispatcher->caller_gone(waiting, m_now);
+    m_dispatcher->caller_gone(waiting, "caller_closed", m_now);
     CHECK(m_dispatcher->open_requests() == 0);
     CHECK(m_replies.empty());
 }
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -98,7 +98,7 @@
     advance(milliseconds(20));
     SECTION("its caller left")
     {
-        m_dispatcher->caller_gone(first, m_now);
+        m_dispatcher->caller_gone(first, "caller_closed", m_now);
     }
     SECTION("its server failed")
     {
--- a/tests/gateway/settlement_test.cpp
+++ b/tests/gateway/settlement_test.cpp
@@ -92,8 +92,8 @@
     add_server("i-1");
     auto const running = begin("/o/1", "key");
     auto const waiting = begin("/o/2", "key");
-    m_dispatcher->caller_gone(waiting, m_now);
-    m_dispatcher->caller_gone(running, m_now);
+    m_dispatcher->caller_gone(waiting, "caller_closed", m_now);
+    m_dispatcher->caller_gone(running, "caller_closed", m_now);
     CHECK(is_settled_once(waiting, outcome::not_run));
     CHECK(is_settled_once(running, outcome::unresolved));
 }
--- a/tests/gateway/start_test.cpp
+++ b/tests/gateway/start_test.cpp
@@ -80,7 +80,7 @@
                  "[gateway]")
 {
     auto const early = begin("/o/1");
-    m_dispatcher->caller_gone(early, m_now);
+    m_dispatcher->caller_gone(early, "caller_closed", m_now);
     publish(1);
     add_server("b-1");
     m_dispatcher->tick(m_now);
