--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <future>
+#include <map>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -92,6 +93,11 @@
 class answer_stream_fixture : public gateway_fixture
 {
 protected:
+    explicit answer_stream_fixture(double memory_mb = small_memory_mb)
+        : gateway_fixture(true, short_grace, true, memory_mb)
+    {
+    }
+
     /// Sends a request and accepts its connection at the backend server.
     std::pair<raw_connection, raw_connection> begin(std::string const& request)
     {
@@ -123,6 +129,16 @@
     }
 };
 
+/// A gateway whose memory holds some large answers.
+class ample_memory_fixture : public answer_stream_fixture
+{
+protected:
+    ample_memory_fixture()
+        : answer_stream_fixture(32)
+    {
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(answer_stream_fixture,
@@ -343,6 +359,107 @@
     CHECK(body_of(caller.receive_message()) == body);
 }
 
+// Failure: a large answer broke off, and the requests behind it on its connection, which sound
+// servers had run, got no answer.
+TEST_CASE_METHOD(ample_memory_fixture,
+                 "answer_stream_that_breaks_off_leaves_the_answers_behind_it",
+                 "[gateway][concurrent]")
+{
+    bool const is_chunked = GENERATE(true, false);
+    auto caller = connect();
+    caller.send(get("a") + get("b") + get("c"));
+    std::map<std::string, raw_connection> servers;
+    for (int count = 0; count < 3; ++count)
+    {
+        auto server = m_server.accept();
+        auto const id = server.receive_message().substr(std::string_view("GET /i/").size(), 1);
+        servers.emplace(id, std::move(server));
+    }
+    auto const half = make_body(large_bytes / 4);
+    servers.at("a").send(
+        head_of("a", is_chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: 540000\r\n") +
+        (is_chunked ? as_chunks(half, 7000) : half));
+    servers.at("b").send(answer_to("b", "second"));
+    servers.at("c").send(answer_to("c", "third"));
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_answer_bytes") > 0;
+        }));
+    servers.at("a").close();
+    CHECK(has_status(caller.receive_message(), "502"));
+    CHECK(caller.receive_message().ends_with("second"));
+    CHECK(caller.receive_message().ends_with("third"));
+}
+
+// Failure: as above, for a large answer that broke off before its turn.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_breaks_off_before_its_turn_leaves_the_answer_before_it",
+                 "[gateway]")
+{
+    auto caller = connect();
+    caller.send(get("a"));
+    auto one = m_server.accept();
+    REQUIRE_FALSE(one.receive_message().empty());
+    caller.send(get("b"));
+    auto two = m_server.accept();
+    REQUIRE_FALSE(two.receive_message().empty());
+    // Less than pauses the server.
+    two.send(head_of("b", "Content-Length: 540000\r\n") + make_body(large_bytes / 8));
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    two.close();
+    auto probe = m_server.accept();
+    one.send(answer_to("a", "first"));
+    CHECK(caller.receive_message().ends_with("first"));
+    CHECK(has_status(caller.receive_message(), "502"));
+    // The connection carries the next request.
+    caller.send(get("c"));
+    REQUIRE_FALSE(one.receive_message().empty());
+    one.send(answer_to("c", "next"));
+    CHECK(caller.receive_message().ends_with("next"));
+}
+
+// Failure: as above, for requests that arrive while the large answer is on its way.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_holds_the_requests_behind_it_until_it_is_whole",
+                 "[gateway]")
+{
+    bool const is_whole = GENERATE(true, false);
+    auto [caller, server] = begin(get("a"));
+    auto const body = make_body(large_bytes);
+    server.send(head_of("a", "Content-Length: 540000\r\n") + body.substr(0, large_bytes / 2));
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1;
+        }));
+    caller.send(get("b"));
+    CHECK_FALSE(m_server.has_connection(200));
+    if (!is_whole)
+    {
+        server.close();
+        CHECK(body_of(caller.receive_rest().bytes).size() < large_bytes);
+        // The gateway looks whether the server crashed.
+        auto probe = m_server.accept();
+        CHECK(probe.receive_message().empty());
+        CHECK_FALSE(m_server.has_connection(200));
+        return;
+    }
+    auto const sent = std::async(std::launch::async,
+                                 [&, &backend = server]()
+                                 {
+                                     backend.send(body.substr(large_bytes / 2));
+                                 });
+    CHECK(body_of(caller.receive_message()) == body);
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("b", "second"));
+    CHECK(caller.receive_message().ends_with("second"));
+}
+
 // Load pattern: many callers with slow links fetch large answers at once. The memory of the answers
 // is bounded by the settings, whatever their number and size, and each is complete in the end.
 TEST_CASE_METHOD(answer_stream_fixture,
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -36,8 +36,9 @@
 }
 
 constexpr auto short_grace = milliseconds(1500);
+constexpr double small_memory_mb = 1;
 
-inline kernel::settings make_gateway_settings(milliseconds shutdown_grace)
+inline kernel::settings make_gateway_settings(milliseconds shutdown_grace, double memory_mb)
 {
     kernel::settings own;
     own.name = "host-1";
@@ -53,8 +54,8 @@
          {&gateway.callers, &gateway.readiness, &gateway.directory, &gateway.metrics})
         *own_endpoint = {"127.0.0.1", own_port(number++)};
     gateway.bounds.extra_retries = 60;
-    // A fifth of the memory is available for requests.
-    gateway.resources.memory_mb = 1;
+    // A fifth of the memory is available for requests, and a quarter for answers.
+    gateway.resources.memory_mb = memory_mb;
     gateway.bounds.shutdown_grace = shutdown_grace;
     return own;
 }
@@ -104,8 +105,9 @@
 
     explicit gateway_fixture(bool has_store = true,
                              milliseconds shutdown_grace = short_grace,
-                             bool is_started = true)
-        : m_settings(make_gateway_settings(shutdown_grace))
+                             bool is_started = true,
+                             double memory_mb = small_memory_mb)
+        : m_settings(make_gateway_settings(shutdown_grace, memory_mb))
     {
         if (has_store)
             push_store();
