--- a/kernel/daemon.cpp
+++ b/kernel/daemon.cpp
@@ -36,6 +36,8 @@
 // Signals are blocked in every thread and waited for here, so no code runs in a signal handler.
 sigset_t block_signals()
 {
+    // Whoever reads the log may end before the daemon does.
+    std::signal(SIGPIPE, SIG_IGN);
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -18,6 +18,9 @@
 set_tests_properties(check_history PROPERTIES TIMEOUT 120)
 
 if(NOT PISTACHIOHUB_SANITIZE)
+  add_test(NAME log_reader_that_ends_leaves_the_daemon_running
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/log_reader_test.py ${CMAKE_BINARY_DIR})
+  set_tests_properties(log_reader_that_ends_leaves_the_daemon_running PROPERTIES TIMEOUT 60)
   add_test(NAME operations_page
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/operations_page_test.py ${CMAKE_BINARY_DIR})
   set_tests_properties(operations_page PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
