--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -86,6 +86,9 @@
     std::optional<answer> response;
     std::optional<answer_stream> stream;
     bool is_head = false;
+    /// Not passed on yet: it stands behind an answer that may still break off, which closes the
+    /// connection.
+    bool is_deferred = false;
     /// Bytes of the request that count towards the memory limit.
     std::size_t held_bytes = 0;
     /// Bytes of the answer that wait here.
@@ -271,7 +274,11 @@
         if (length)
             stream.framing = stream_framing::length;
         else if (!request->message.accepts_chunks)
+        {
             stream.framing = stream_framing::connection;
+            // No answer can follow on this connection, so no further request is read.
+            m_is_last = true;
+        }
     }
 
     bool stream(request_pointer const& request, std::string&& part)
@@ -291,18 +298,40 @@
         return may_continue;
     }
 
-    void end_stream(request_pointer const& request, bool is_complete)
+    void end_stream(request_pointer const& request)
     {
         auto* const open = find_exchange(request);
         if (open == nullptr || !open->stream)
             return;
-        if (is_complete)
-        {
-            open->stream->is_complete = true;
-            open->stream->pending += stream_end(open->stream->framing);
-            return write();
-        }
-        abandon("answer_broke_off");
+        open->stream->is_complete = true;
+        open->stream->pending += stream_end(open->stream->framing);
+        write();
+        pass_on_deferred();
+    }
+
+    void break_stream(request_pointer const& request, answer&& replacement)
+    {
+        auto* const open = find_exchange(request);
+        if (open == nullptr || !open->stream)
+            return;
+        if (open->stream->is_head_sent)
+            return abandon("answer_broke_off");
+        open->stream.reset();
+        reply(request, std::move(replacement));
+        pass_on_deferred();
+    }
+
+    /// @returns whether a request behind this one has been passed on or answered.
+    [[nodiscard]] bool has_requests_behind(request_pointer const& request) const
+    {
+        // Only the last ones are deferred.
+        auto const last = std::find_if(m_exchanges.rbegin(),
+                                       m_exchanges.rend(),
+                                       [](exchange const& open)
+                                       {
+                                           return !open.is_deferred;
+                                       });
+        return last != m_exchanges.rend() && last->request != request;
     }
 
     [[nodiscard]] bool is_busy() const
@@ -488,11 +517,46 @@
         // If the buffer also holds the beginning of the next pipelined request, those bytes are
         // counted with this request.
         auto const held = std::exchange(m_held_bytes, 0);
-        add_exchange(request, held).is_head = request->message.method == "HEAD";
+        bool const is_deferred = has_open_stream();
+        auto& added = add_exchange(request, held);
+        added.is_head = request->message.method == "HEAD";
+        added.is_deferred = is_deferred;
+        if (!is_deferred)
+            pass_on(request);
+    }
+
+    /// @returns whether an answer of this connection is on its way in parts.
+    [[nodiscard]] bool has_open_stream() const
+    {
+        return std::any_of(m_exchanges.begin(),
+                           m_exchanges.end(),
+                           [](exchange const& open)
+                           {
+                               return open.stream && !open.stream->is_complete;
+                           });
+    }
+
+    void pass_on(request_pointer const& request)
+    {
         m_shared->waiting.emplace(request->number, shared_from_this());
         m_shared->events.request_received(request);
     }
 
+    void pass_on_deferred()
+    {
+        if (has_open_stream())
+            return;
+        std::vector<request_pointer> deferred;
+        for (auto& open : m_exchanges)
+        {
+            if (std::exchange(open.is_deferred, false))
+                deferred.push_back(open.request);
+        }
+        // Passing on may answer a request at once, which removes its exchange.
+        for (auto const& request : deferred)
+            pass_on(request);
+    }
+
     void refuse(refusal cause)
     {
         m_shared->counters
@@ -556,11 +620,7 @@
         auto& stream = *front.stream;
         if (!std::exchange(stream.is_head_sent, true))
         {
-            if (stream.framing == stream_framing::connection)
-            {
-                m_is_last = true;
-                m_is_close_delimited = true;
-            }
+            m_is_close_delimited = stream.framing == stream_framing::connection;
             text += serialize_stream_head(*front.response, stream.framing, stream.length, is_last);
         }
         text += std::exchange(stream.pending, {});
@@ -659,7 +719,7 @@
             if (!open.request)
                 continue;
             m_shared->waiting.erase(open.request->number);
-            if (!is_answered(open))
+            if (!is_answered(open) && !open.is_deferred)
                 m_shared->events.caller_disconnected(open.request, cause);
         }
     }
@@ -846,10 +906,22 @@
     return !waiting || waiting->stream(request, std::move(part));
 }
 
-void caller_server::end_stream(request_pointer const& request, bool is_complete)
+void caller_server::end_stream(request_pointer const& request)
+{
+    if (auto const waiting = m_implementation->session_of(*request))
+        waiting->end_stream(request);
+}
+
+void caller_server::break_stream(request_pointer const& request, answer&& replacement)
 {
     if (auto const waiting = m_implementation->session_of(*request))
-        waiting->end_stream(request, is_complete);
+        waiting->break_stream(request, std::move(replacement));
+}
+
+bool caller_server::has_requests_behind(request_pointer const& request) const
+{
+    auto const waiting = m_implementation->session_of(*request);
+    return waiting && waiting->has_requests_behind(request);
 }
 
 void caller_server::drain()
--- a/plugins/gateway/caller_server.hpp
+++ b/plugins/gateway/caller_server.hpp
@@ -77,10 +77,16 @@
     /// @returns whether more may be added at once; otherwise `stream_drained` follows.
     bool stream(request_pointer const& request, std::string&& part);
 
-    /// Ends an answer that was sent in parts.
-    /// @param is_complete false closes the connection, so that the caller sees that the answer
-    /// broke off.
-    void end_stream(request_pointer const& request, bool is_complete);
+    /// Ends an answer that was sent in parts and is whole.
+    void end_stream(request_pointer const& request);
+
+    /// Ends an answer in parts that broke off. A caller that has a part of it sees the connection
+    /// close; otherwise it gets `replacement`.
+    void break_stream(request_pointer const& request, answer&& replacement);
+
+    /// @returns whether requests behind this one on its connection have been passed on, which would
+    /// lose their answers if this answer broke off in the middle.
+    [[nodiscard]] bool has_requests_behind(request_pointer const& request) const;
 
     /// From now on closes each connection after its next answer. Idle connections stay open because
     /// a request may be in flight on them, and new connections are still accepted.
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -244,6 +244,9 @@
     request->service = route.split[part].service;
     request->give_up_at =
         std::min(request->answer_deadline, request->arrived_at + route.target_latency);
+    // It may have stood behind a long answer on its connection.
+    if (request->answer_deadline <= now)
+        return refuse(request, refusal::waited_too_long, now);
     m_deadlines.emplace(request->answer_deadline, request);
     m_deadlines.emplace(request->give_up_at, request);
     auto& state = state_of(request->service);
@@ -672,8 +675,9 @@
     }
     if (!request->stream_began_at)
         return m_actions.reply(request, std::move(response));
-    // The caller has the head of the backend server's answer, so a refusal has no place any more.
-    m_actions.end_stream(request, request->is_answer_whole);
+    if (request->is_answer_whole)
+        return m_actions.end_stream(request);
+    m_actions.break_stream(request, std::move(response));
 }
 
 void dispatcher::end_expired(kernel::monotonic_time now)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -38,10 +38,11 @@
     std::function<void(request_pointer const&)> cancel;
     /// Sends the answer to the caller.
     std::function<void(request_pointer const&, answer&&)> reply;
-    /// Ends an answer that the caller receives in parts.
-    /// @param is_complete whether all parts were received; otherwise the caller must see that the
-    /// answer broke off.
-    std::function<void(request_pointer const&, bool is_complete)> end_stream;
+    /// Ends an answer in parts that is whole.
+    std::function<void(request_pointer const&)> end_stream;
+    /// Ends an answer in parts that broke off. A caller that has a part of it must see that;
+    /// another one gets `replacement`.
+    std::function<void(request_pointer const&, answer&& replacement)> break_stream;
     /// Records the outcome of a request that has ended, for the settlement. Called once for each
     /// request that has an id and was routed to a service.
     std::function<void(gateway_request const&, outcome)> settle;
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -175,9 +175,13 @@
         {
             m_caller_server.reply(request, std::move(made));
         };
-        actions.end_stream = [this](request_pointer const& request, bool is_complete)
+        actions.end_stream = [this](request_pointer const& request)
         {
-            m_caller_server.end_stream(request, is_complete);
+            m_caller_server.end_stream(request);
+        };
+        actions.break_stream = [this](request_pointer const& request, answer&& replacement)
+        {
+            m_caller_server.break_stream(request, std::move(replacement));
         };
         actions.settle = [this](gateway_request const& request, outcome result)
         {
@@ -236,6 +240,10 @@
         {
             m_dispatcher.server_notice_received(*request, notice, kernel::monotonic_now());
         };
+        events.has_requests_behind = [this](request_pointer const& request)
+        {
+            return m_caller_server.has_requests_behind(request);
+        };
         events.stream_begun = [this](request_pointer const& request,
                                      answer&& head,
                                      std::optional<std::uint64_t> length)
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t max_unparsed_bytes = max_header_bytes + read_chunk_bytes;
 // Answers up to this size are collected, so that a broken one can be repeated at another server.
 constexpr std::size_t max_collected_bytes = 65536;
+// Divisor of the memory for answers: size up to which a larger answer is collected while further
+// requests of its caller's connection are running, whose answers its break would lose.
+constexpr std::size_t max_share_collected = 16;
 // Size from which an answer is delivered in parts when the memory for answers is exhausted.
 constexpr std::size_t min_streamed_bytes = read_chunk_bytes;
 // Interim answers before the final one, and bytes of answers to other requests, after which the
@@ -376,7 +379,10 @@
 bool server_connection::implementation::should_stream() const
 {
     auto const size = answer_parser->get().body().size();
-    return size >= max_collected_bytes || (size >= min_streamed_bytes && is_exhausted(memory));
+    if (is_exhausted(memory))
+        return size >= min_streamed_bytes;
+    return size >= max_collected_bytes &&
+           (size >= memory.limit / max_share_collected || !handlers.has_requests_behind());
 }
 
 bool server_connection::implementation::on_body()
--- a/plugins/gateway/server_connection.hpp
+++ b/plugins/gateway/server_connection.hpp
@@ -22,6 +22,9 @@
 {
     /// The head of the answer was read, with what it says of the backend server.
     std::function<void(interface::server_notice const&)> notice_received;
+    /// @returns whether the caller's connection would lose further answers if this one broke off
+    /// after a part of it was delivered.
+    std::function<bool()> has_requests_behind;
     /// A large answer has begun, whose body follows in parts. Not called for small answers, which
     /// `ended` delivers whole.
     /// @param length size of the body, if the backend server announced it.
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -95,6 +95,10 @@
     {
         m_events.notice_received(request, notice);
     };
+    handlers.has_requests_behind = [this, request]()
+    {
+        return m_events.has_requests_behind(request);
+    };
     handlers.stream_begun = [this, request](answer&& head, std::optional<std::uint64_t> length)
     {
         m_events.stream_begun(request, std::move(head), length);
--- a/plugins/gateway/server_connection_pool.hpp
+++ b/plugins/gateway/server_connection_pool.hpp
@@ -27,6 +27,7 @@
 struct server_pool_events
 {
     std::function<void(request_pointer const&, interface::server_notice const&)> notice_received;
+    std::function<bool(request_pointer const&)> has_requests_behind;
     std::function<void(request_pointer const&, answer&& head, std::optional<std::uint64_t> length)>
         stream_begun;
     std::function<bool(request_pointer const&, std::string&& part)> part_received;
--- a/tests/gateway/crash_fleet.cpp
+++ b/tests/gateway/crash_fleet.cpp
@@ -124,7 +124,8 @@
     };
     actions.cancel = [](gateway::request_pointer const&) {};
     actions.reply = [](gateway::request_pointer const&, gateway::answer&&) {};
-    actions.end_stream = [](gateway::request_pointer const&, bool) {};
+    actions.end_stream = [](gateway::request_pointer const&) {};
+    actions.break_stream = [](gateway::request_pointer const&, gateway::answer&&) {};
     actions.settle = [](gateway::gateway_request const&, outcome) {};
     actions.check_server = [this, &of](gateway::server_pointer const& checked)
     {
--- a/tests/gateway/dispatcher_fixture.hpp
+++ b/tests/gateway/dispatcher_fixture.hpp
@@ -89,9 +89,13 @@
                 made.body,
                 std::string(gateway::find_header_value(made.headers, "Retry-After"))};
         };
-        actions.end_stream = [this](gateway::request_pointer const& request, bool is_complete)
+        actions.end_stream = [this](gateway::request_pointer const& request)
         {
-            m_ended_streams[request->number] = is_complete;
+            m_ended_streams[request->number] = true;
+        };
+        actions.break_stream = [this](gateway::request_pointer const& request, gateway::answer&&)
+        {
+            m_ended_streams[request->number] = false;
         };
         actions.settle = [this](gateway::gateway_request const& request, outcome result)
         {
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -137,7 +137,8 @@
         constexpr unsigned ok = 200;
         m_served += made.status == ok ? 1 : 0;
     };
-    actions.end_stream = [](gateway::request_pointer const&, bool) {};
+    actions.end_stream = [](gateway::request_pointer const&) {};
+    actions.break_stream = [](gateway::request_pointer const&, gateway::answer&&) {};
     actions.settle = [](gateway::gateway_request const&, outcome) {};
     actions.check_server = [](gateway::server_pointer const&) {};
     actions.publish_crashes = [](fleet::crash_knowledge&&) {};
