--- a/libraries/http/silence_limit.hpp
+++ b/libraries/http/silence_limit.hpp
@@ -13,4 +13,10 @@
 /// @param socket a connected TCP socket.
 void set_silence_limit(int socket, kernel::duration limit);
 
+/// Suspends the limit while the other side acknowledges everything but takes no data, which the
+/// kernel would count as silence. To be called several times within `limit` while data may wait.
+/// @param limit as given to set_silence_limit().
+/// @returns whether data waits for the other side.
+bool update_silence_limit(int socket, kernel::duration limit);
+
 } // namespace pistachiohub::http
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -62,6 +62,8 @@
 constexpr double unreadable_log_lines_per_second = 10;
 // A connection whose peer acknowledges nothing for this time is considered broken.
 constexpr auto caller_silence_limit = std::chrono::seconds(5);
+// Size from which a caller may not take at once what was written to its connection.
+constexpr std::size_t min_backlog_bytes = 16384;
 
 using parser = http_library::request_parser<http_library::string_body>;
 
@@ -349,6 +351,9 @@
 
     void close_if_overdue(kernel::monotonic_time now)
     {
+        if (m_may_have_backlog)
+            m_may_have_backlog =
+                http::update_silence_limit(m_socket.native_handle(), caller_silence_limit);
         auto const idle = now - m_active_at;
         if (m_is_lingering)
             return idle > linger_timeout ? close("lingered") : void();
@@ -632,6 +637,7 @@
         m_output = std::move(text);
         m_output_claim.set(m_output.size());
         m_is_writing = true;
+        m_may_have_backlog = m_may_have_backlog || m_output.size() >= min_backlog_bytes;
         m_active_at = kernel::monotonic_now();
         // A caller that reads slowly, but does read, is not cut off.
         auto const note_progress = [this](error_code failure, std::size_t) -> std::size_t
@@ -757,6 +763,8 @@
     kernel::monotonic_time m_request_began_at;
     bool m_is_reading = false;
     bool m_is_writing = false;
+    /// The kernel may hold bytes that the caller has no room for.
+    bool m_may_have_backlog = false;
     bool m_has_continued = false;
     /// The connection closes after the answers that are due; no further request is read.
     bool m_is_last = false;
--- a/plugins/gateway/server_connection.hpp
+++ b/plugins/gateway/server_connection.hpp
@@ -66,6 +66,10 @@
                request_serializer serialize,
                exchange_handlers handlers);
 
+    /// Tells a server that takes no data for a while from one that is lost. To be called several
+    /// times a second during an exchange.
+    void check_silence();
+
     /// Reads on after `part_received` returned false.
     void resume();
 
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -140,6 +140,8 @@
 
 void server_connection_pool::sweep(kernel::monotonic_time now)
 {
+    for (auto const& [number, connection] : m_running)
+        connection->check_silence();
     for (auto& [server, connections] : m_idle)
     {
         std::erase_if(connections,
--- a/plugins/gateway/server_connection_pool.hpp
+++ b/plugins/gateway/server_connection_pool.hpp
@@ -55,7 +55,8 @@
     /// Closes the connection of a request. Most backend servers then stop running it.
     void cancel(request_pointer const& request);
 
-    /// Closes idle connections that their servers would soon close, and those of removed servers.
+    /// Closes idle connections that their servers would soon close, and those of removed servers,
+    /// and checks those in use for lost servers.
     void sweep(kernel::monotonic_time now);
 
 private:
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -460,6 +460,24 @@
     CHECK(caller.receive_message().ends_with("second"));
 }
 
+// Failure: a caller that read nothing for some seconds lost its connection and the rest of its
+// answer. The kernel counts the time without room at a living peer as silence.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_to_a_caller_that_pauses_is_delivered_whole",
+                 "[gateway]")
+{
+    auto [caller, server] = begin(get("a"));
+    auto const body = make_body(large_bytes);
+    auto const sent = std::async(std::launch::async,
+                                 [&, &backend = server]()
+                                 {
+                                     backend.send(answer_to("a", body));
+                                 });
+    // Longer than the limit of silence, and shorter than the time for a caller to take something.
+    std::this_thread::sleep_for(milliseconds(7000));
+    CHECK(body_of(caller.receive_message()) == body);
+}
+
 // Load pattern: many callers with slow links fetch large answers at once. The memory of the answers
 // is bounded by the settings, whatever their number and size, and each is complete in the end.
 TEST_CASE_METHOD(answer_stream_fixture,
--- /dev/null
+++ b/tests/libraries/silence_limit_test.cpp
@@ -0,0 +1,92 @@
+#include "libraries/http/silence_limit.hpp"
+
+#include "tests/support/raw_connection.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <string>
+#include <thread>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto limit = milliseconds(1000);
+
+/// A non-blocking connection with the limit, to a peer that reads only when it is told to.
+class silence_limit_fixture
+{
+protected:
+    support::raw_listener m_listener;
+    int m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    silence_limit_fixture()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(m_listener.port());
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        http::set_silence_limit(m_socket, limit);
+    }
+
+    ~silence_limit_fixture()
+    {
+        ::close(m_socket);
+    }
+
+    /// Sends until the kernel takes no more.
+    /// @returns the number of bytes sent.
+    [[nodiscard]] std::size_t fill() const
+    {
+        std::string const bytes(65536, 'x');
+        std::size_t sent = 0;
+        while (true)
+        {
+            auto const taken =
+                ::send(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+            if (taken <= 0)
+                return sent;
+            sent += static_cast<std::size_t>(taken);
+        }
+    }
+
+    void update_for(milliseconds time) const
+    {
+        constexpr auto interval = milliseconds(200);
+        for (auto passed = milliseconds(0); passed < time; passed += interval)
+        {
+            CHECK(http::update_silence_limit(m_socket, limit));
+            std::this_thread::sleep_for(interval);
+        }
+    }
+};
+
+} // namespace
+
+// Failure: a peer that took no data for the limit lost its connection, though it acknowledged all
+// that it had room for.
+TEST_CASE_METHOD(silence_limit_fixture,
+                 "silence_limit_of_a_peer_that_reads_late_keeps_the_connection",
+                 "[http]")
+{
+    auto peer = m_listener.accept();
+    auto const sent = fill();
+    update_for(4 * limit);
+    ::shutdown(m_socket, SHUT_WR);
+    auto const rest = peer.receive_rest();
+    CHECK_FALSE(rest.is_reset);
+    CHECK(rest.bytes.size() == sent);
+    CHECK_FALSE(http::update_silence_limit(m_socket, limit));
+}
+
+} // namespace pistachiohub
