--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -607,6 +607,8 @@
         }
         if (!text.empty())
             send(std::move(text));
+        else if (m_is_last && m_exchanges.empty() && !m_is_lingering)
+            linger();
     }
 
     /// Appends what is ready of the first answer.
@@ -665,10 +667,8 @@
         m_active_at = kernel::monotonic_now();
         write();
         resume_stream();
-        if (m_is_writing)
+        if (m_is_writing || m_is_lingering)
             return;
-        if (m_is_last && m_exchanges.empty())
-            return linger();
         // The buffer may hold requests that arrived while too many were unanswered.
         parse();
         read();
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -283,6 +283,30 @@
     CHECK(caller.receive_rest().is_reset);
 }
 
+// Failure: a caller without chunks waited for the end of its answer until the idle time, and then
+// got a reset. Nothing was left to write when the end of the answer arrived.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_that_ends_late_closes_for_a_caller_without_chunks",
+                 "[gateway]")
+{
+    auto [caller, server] = begin("GET /i/a HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: a\r\n"
+                                  "X-Deadline-Ms: 3000\r\n\r\n");
+    auto const body = make_body(large_bytes / 4);
+    server.send(head_of("a", "Transfer-Encoding: chunked\r\n") + as_chunks(body, 7000));
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_streamed_answers_total") == 1 &&
+                   metric("pistachiohub_gateway_answer_bytes") == 0;
+        }));
+    server.send("0\r\n\r\n");
+    auto const ended_at = std::chrono::steady_clock::now();
+    auto const rest = caller.receive_rest();
+    CHECK(std::chrono::steady_clock::now() - ended_at < milliseconds(1000));
+    CHECK_FALSE(rest.is_reset);
+    CHECK(body_of(rest.bytes) == body);
+}
+
 // The same holds for a whole answer that its caller has not taken when the process ends.
 TEST_CASE_METHOD(answer_stream_fixture,
                  "answer_stream_that_a_stop_cuts_resets_a_caller_without_chunks",
