--- a/kernel/settings_file.cpp
+++ b/kernel/settings_file.cpp
@@ -15,7 +15,14 @@
     std::ifstream file(path);
     if (!file)
         throw unreadable_settings("cannot read the settings file " + path);
-    return {path, std::string{std::istreambuf_iterator<char>(file), {}}, monotonic_now()};
+    try
+    {
+        return {path, std::string{std::istreambuf_iterator<char>(file), {}}, monotonic_now()};
+    }
+    catch (std::ios_base::failure const& failure)
+    {
+        throw unreadable_settings("cannot read the settings file " + path + ": " + failure.what());
+    }
 }
 
 void reload_if_changed(settings_file& file, daemon_context& context, bool is_requested)
--- a/kernel/settings_file.hpp
+++ b/kernel/settings_file.hpp
@@ -30,7 +30,7 @@
 };
 
 /// Reads a settings file.
-/// @throws unreadable_settings when the file cannot be opened.
+/// @throws unreadable_settings when the file cannot be opened or read.
 [[nodiscard]] settings_file read_settings_file(std::string const& path);
 
 /// Publishes new settings as `snapshot<settings>` when the file's text has changed. Invalid
--- a/tests/kernel/output_test.cpp
+++ b/tests/kernel/output_test.cpp
@@ -151,4 +151,20 @@
     CHECK_FALSE(m_context.shared<kernel::snapshot<kernel::settings>>().load());
 }
 
+// Failure: a settings file whose reading fails, as that of a directory in its place, ended the
+// daemon at its next look with all open requests.
+TEST_CASE_METHOD(settings_file_fixture,
+                 "settings_file_unreadable_leaves_those_in_force",
+                 "[kernel]")
+{
+    auto file = kernel::read_settings_file(m_path);
+    std::filesystem::remove(m_path);
+    bool const is_directory = GENERATE(false, true);
+    INFO("is a directory: " << is_directory);
+    if (is_directory)
+        std::filesystem::create_directory(m_path);
+    CHECK_NOTHROW(kernel::reload_if_changed(file, m_context, true));
+    CHECK_FALSE(m_context.shared<kernel::snapshot<kernel::settings>>().load());
+}
+
 } // namespace pistachiohub
