--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -12,6 +12,10 @@
 #include <thread>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace pistachiohub
 {
 
@@ -76,6 +80,68 @@
     return message.substr(message.find("\r\n\r\n") + 4);
 }
 
+/// Gives a socket little room for input and small segments, as over a real link, for which the
+/// kernel of the sender keeps little output too.
+void limit_room(int descriptor)
+{
+    int const room = 4096;
+    int const segment = 536;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+}
+
+raw_connection connect_over_slow_link(std::uint16_t port)
+{
+    auto const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    raw_connection caller(descriptor);
+    limit_room(descriptor);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    return caller;
+}
+
+/// A listening socket whose connections are as those of connect_over_slow_link().
+class slow_link_listener
+{
+public:
+    slow_link_listener()
+    {
+        limit_room(m_descriptor);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        REQUIRE(::listen(m_descriptor, 8) == 0);
+    }
+
+    slow_link_listener(slow_link_listener const&) = delete;
+    slow_link_listener& operator=(slow_link_listener const&) = delete;
+
+    ~slow_link_listener()
+    {
+        ::close(m_descriptor);
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        sockaddr_in address{};
+        socklen_t size = sizeof(address);
+        REQUIRE(::getsockname(m_descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        return ntohs(address.sin_port);
+    }
+
+    [[nodiscard]] raw_connection accept() const
+    {
+        return raw_connection(::accept(m_descriptor, nullptr, nullptr));
+    }
+
+private:
+    int m_descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+};
+
 /// How an answer in parts breaks.
 struct broken_answer
 {
@@ -626,4 +692,121 @@
     CHECK_FALSE(next.receive_message().empty());
 }
 
+// Failure: a large answer broke off while the whole answer before it was still being written to a
+// caller with a slow link, and the caller lost the end of that one too.
+TEST_CASE_METHOD(ample_memory_fixture,
+                 "answer_stream_that_breaks_off_leaves_the_answer_being_written_before_it",
+                 "[gateway]")
+{
+    bool const breaks_off = GENERATE(false, true);
+    INFO("breaks off: " << breaks_off);
+    auto caller = connect_over_slow_link(m_settings.gateway->callers.port);
+    caller.send(get("a"));
+    auto one = m_server.accept();
+    REQUIRE_FALSE(one.receive_message().empty());
+    caller.send(get("b"));
+    auto two = m_server.accept();
+    REQUIRE_FALSE(two.receive_message().empty());
+    // Less than pauses the server.
+    two.send(head_of("b", "Content-Length: 540000\r\n") + make_body(large_bytes / 6));
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return metric("pistachiohub_gateway_answer_bytes") >= large_bytes / 6.0;
+        }));
+    auto const first = make_body(65'000);
+    one.send(answer_to("a", first));
+    // Until both are handed to the socket together, which the caller has no room for.
+    REQUIRE(support::eventually(
+        [this]()
+        {
+            return take_settled().size() == 1;
+        }));
+    if (breaks_off)
+    {
+        two.close();
+        REQUIRE(support::eventually(
+            [this]()
+            {
+                return take_settled().size() == 1;
+            }));
+    }
+    CHECK(caller.receive_message().ends_with("\r\n\r\n" + first));
+}
+
+// Failure: a caller without chunks got the answer to its next request as the end of the body of a
+// large one that ends with the connection.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_to_a_caller_without_chunks_ends_before_the_next_answer",
+                 "[gateway]")
+{
+    auto const get_without_chunks = [](std::string const& id)
+    {
+        return "GET /i/" + id + " HTTP/1.0\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+               "\r\nX-Deadline-Ms: 3000\r\nConnection: keep-alive\r\n\r\n";
+    };
+    auto caller = connect();
+    caller.send(get_without_chunks("a"));
+    auto one = m_server.accept();
+    REQUIRE_FALSE(one.receive_message().empty());
+    caller.send(get_without_chunks("b"));
+    CHECK_FALSE(m_server.has_connection(200));
+    auto const body = make_body(large_bytes / 4);
+    one.send(head_of("a", "Transfer-Encoding: chunked\r\n") + as_chunks(body, 7000));
+    one.send("0\r\n\r\n");
+    auto const rest = caller.receive_rest();
+    CHECK_FALSE(rest.is_reset);
+    CHECK(body_of(rest.bytes) == body);
+}
+
+// Failure: a caller that read nothing for some seconds lost an answer of less than 16 KiB, for
+// which its socket had no room. Only larger writes are looked at.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "small_answers_to_a_caller_that_pauses_are_delivered_whole",
+                 "[gateway]")
+{
+    // The second pause is longer than the limit of silence.
+    auto const pause = milliseconds(GENERATE(1000, 8000));
+    INFO("pause: " << pause.count());
+    auto caller = connect_over_slow_link(m_settings.gateway->callers.port);
+    auto const body = make_body(12'000);
+    caller.send(get("a"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send(answer_to("a", body));
+    std::this_thread::sleep_for(pause);
+    CHECK(caller.receive_message().ends_with("\r\n\r\n" + body));
+}
+
+// Failure: an answer that ends with its connection reached the caller as whole although the server
+// reset the connection. The write of the rest of the request took the error, and the read saw an
+// end.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_without_length_that_a_reset_cuts_during_the_request_is_not_whole",
+                 "[gateway]")
+{
+    // More than the sockets hold, or less.
+    auto const body_bytes = static_cast<std::size_t>(GENERATE(90'000, 10));
+    INFO("body: " << body_bytes);
+    slow_link_listener const listener;
+    fleet::backend_server server;
+    server.id = "i-2";
+    server.service = "s";
+    server.address = {"127.0.0.1", listener.port()};
+    server.failure_domain = "sve-a";
+    server.slots = 8;
+    push(events::store_update<fleet::backend_server>{true, 2, {{server.id, 2, server}}});
+    std::this_thread::sleep_for(milliseconds(100));
+    auto caller = connect();
+    caller.send(post("a", make_body(body_bytes)));
+    auto backend = listener.accept();
+    backend.send(head_of("a", "") + "part of the body");
+    // Until the gateway has read it.
+    std::this_thread::sleep_for(milliseconds(200));
+    backend.reset();
+    auto const received = caller.receive_message();
+    INFO(received);
+    CHECK(has_status(received, "502"));
+}
+
 } // namespace pistachiohub
