--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -199,6 +199,7 @@
     unsigned interim_answers = 0;
     unsigned skipped_answers = 0;
     std::uint64_t skipped_bytes = 0;
+    bool has_write_failed = false;
     bool is_connected = false;
     bool is_request_written = false;
     /// The kernel may hold bytes that the server has no room for.
@@ -258,6 +259,8 @@
                       [self = shared_from_this()](error_code failure, std::size_t bytes)
                       {
                           self->is_request_written = !failure;
+                          self->has_write_failed =
+                              failure && failure != asio::error::operation_aborted;
                           // If part of the request was written, the result of the read decides:
                           // the server may have refused the request.
                           if (failure && bytes == 0)
@@ -337,6 +340,9 @@
                       failure == asio::error::timed_out ? "silent" : "reset");
     if (!answer_parser->got_some())
         return finish(attempt_result::broken, "closed");
+    // The write took the error of the connection, which the read then sees as an orderly close.
+    if (has_write_failed && answer_parser->is_header_done() && answer_parser->need_eof())
+        return finish(attempt_result::broken, "reset");
     error_code incomplete;
     answer_parser->put_eof(incomplete);
     if (incomplete || !answer_parser->is_done())
@@ -528,6 +534,7 @@
     own.serializer = std::move(serialize);
     own.handlers = std::move(handlers);
     own.is_request_written = false;
+    own.has_write_failed = false;
     own.may_reuse = false;
     own.is_paused = false;
     own.interim_answers = 0;
