--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -62,8 +62,9 @@
 constexpr double unreadable_log_lines_per_second = 10;
 // A connection whose peer acknowledges nothing for this time is considered broken.
 constexpr auto caller_silence_limit = std::chrono::seconds(5);
-// Size from which a caller may not take at once what was written to its connection.
-constexpr std::size_t min_backlog_bytes = 16384;
+
+// Cause of closing a connection whose answer broke off, for logs and metric labels.
+constexpr std::string_view broken_off_cause = "answer_broke_off";
 
 using parser = http_library::request_parser<http_library::string_body>;
 
@@ -317,7 +318,7 @@
         if (open == nullptr || !open->stream)
             return;
         if (open->stream->is_head_sent)
-            return abandon("answer_broke_off");
+            return break_off();
         open->stream.reset();
         reply(request, std::move(replacement));
         pass_on_deferred();
@@ -663,6 +664,8 @@
     void on_written(error_code failure)
     {
         if (failure)
+        if (m_is_broken_off)
+            return end_broken_off();
             return abandon("write_failed");
         m_active_at = kernel::monotonic_now();
         write();
@@ -712,9 +715,32 @@
                                      else
                                          self->discard();
                                  });
+    // The caller still gets what was written before, which may be the end of an earlier answer.
+    void break_off()
+    {
+        m_is_last = true;
+        m_is_broken_off = true;
+        drop_exchanges(broken_off_cause);
+        if (!m_is_writing)
+            end_broken_off();
+    }
+
+    void end_broken_off()
+    {
+        if (m_is_close_delimited)
+            return close(broken_off_cause);
+        m_shared->count_closed(broken_off_cause);
+        linger();
+    }
+
     }
 
     void abandon(std::string_view cause)
+        drop_exchanges(cause);
+    }
+
+    void drop_exchanges(std::string_view cause)
+    {
     {
         close(cause);
         auto const exchanges = std::exchange(m_exchanges, {});
@@ -769,6 +795,8 @@
     /// The connection closes after the answers that are due; no further request is read.
     bool m_is_last = false;
     bool m_is_lingering = false;
+    /// An answer broke off after its head; the connection closes when it has been written.
+    bool m_is_broken_off = false;
     /// The body of the last answer ends with the connection.
     bool m_is_close_delimited = false;
     /// The read was cancelled to close the connection, unless it has read something.
