--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -504,7 +504,9 @@
 
     void take_request()
     {
-        m_is_last = !m_parser->get().keep_alive();
+        constexpr unsigned http_1_1 = 11;
+        // Without chunks an answer of unknown length ends with its connection.
+        m_is_last = !m_parser->get().keep_alive() || m_parser->get().version() < http_1_1;
         auto request = std::make_shared<gateway_request>();
         request->number = ++m_shared->last_number;
         request->caller_address = m_caller_address;
