--- a/libraries/http/silence_limit.cpp
+++ b/libraries/http/silence_limit.cpp
@@ -62,11 +62,14 @@
             kernel::log_level::warning, "http", "silence_limit_not_set", {{"errno", errno}});
 }
 
-bool update_silence_limit(int socket, kernel::duration limit)
+bool update_silence_limit(int socket, kernel::duration limit, bool& is_suspended)
 {
     bool const is_waiting = has_unsent_data(socket);
-    bool const is_suspended = is_waiting && is_acknowledging(socket);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, is_suspended ? 0 : to_milliseconds(limit));
+    bool const is_to_suspend = is_waiting && is_acknowledging(socket);
+    if (is_to_suspend != is_suspended)
+        set_option(
+            socket, IPPROTO_TCP, TCP_USER_TIMEOUT, is_to_suspend ? 0 : to_milliseconds(limit));
+    is_suspended = is_to_suspend;
     return is_waiting;
 }
 
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -277,11 +277,7 @@
         if (length)
             stream.framing = stream_framing::length;
         else if (!request->message.accepts_chunks)
-        {
             stream.framing = stream_framing::connection;
-            // No answer can follow on this connection, so no further request is read.
-            m_is_last = true;
-        }
     }
 
     bool stream(request_pointer const& request, std::string&& part)
@@ -353,8 +349,8 @@
     void close_if_overdue(kernel::monotonic_time now)
     {
         if (m_may_have_backlog)
-            m_may_have_backlog =
-                http::update_silence_limit(m_socket.native_handle(), caller_silence_limit);
+            m_may_have_backlog = http::update_silence_limit(
+                m_socket.native_handle(), caller_silence_limit, m_is_silence_allowed);
         auto const idle = now - m_active_at;
         if (m_is_lingering)
             return idle > linger_timeout ? close("lingered") : void();
@@ -642,7 +638,7 @@
         m_output = std::move(text);
         m_output_claim.set(m_output.size());
         m_is_writing = true;
-        m_may_have_backlog = m_may_have_backlog || m_output.size() >= min_backlog_bytes;
+        m_may_have_backlog = true;
         m_active_at = kernel::monotonic_now();
         // A caller that reads slowly, but does read, is not cut off.
         auto const note_progress = [this](error_code failure, std::size_t) -> std::size_t
@@ -666,10 +662,10 @@
     void on_written(error_code failure)
     {
         if (failure)
-        if (m_is_broken_off)
-            return end_broken_off();
             return abandon("write_failed");
         m_active_at = kernel::monotonic_now();
+        if (m_is_broken_off)
+            return end_broken_off();
         write();
         resume_stream();
         if (m_is_writing || m_is_lingering)
@@ -717,6 +713,8 @@
                                      else
                                          self->discard();
                                  });
+    }
+
     // The caller still gets what was written before, which may be the end of an earlier answer.
     void break_off()
     {
@@ -735,16 +733,14 @@
         linger();
     }
 
-    }
-
     void abandon(std::string_view cause)
+    {
+        close(cause);
         drop_exchanges(cause);
     }
 
     void drop_exchanges(std::string_view cause)
     {
-    {
-        close(cause);
         auto const exchanges = std::exchange(m_exchanges, {});
         release(std::exchange(m_held_bytes, 0));
         for (auto const& open : exchanges)
@@ -793,6 +789,8 @@
     bool m_is_writing = false;
     /// The kernel may hold bytes that the caller has no room for.
     bool m_may_have_backlog = false;
+    /// The limit of silence is suspended.
+    bool m_is_silence_allowed = false;
     bool m_has_continued = false;
     /// The connection closes after the answers that are due; no further request is read.
     bool m_is_last = false;
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -31,8 +31,6 @@
 constexpr auto connect_timeout = milliseconds(300);
 // A connection whose peer acknowledges nothing for this time is considered broken.
 constexpr auto server_silence_limit = milliseconds(3000);
-// Size from which a server may not take a request at once.
-constexpr std::size_t min_backlog_bytes = 16384;
 constexpr std::uint32_t max_header_bytes = 65536;
 // Bytes that are read at a time.
 constexpr std::size_t read_chunk_bytes = 16384;
@@ -199,11 +197,13 @@
     unsigned interim_answers = 0;
     unsigned skipped_answers = 0;
     std::uint64_t skipped_bytes = 0;
-    bool has_write_failed = false;
     bool is_connected = false;
     bool is_request_written = false;
+    bool has_write_failed = false;
     /// The kernel may hold bytes that the server has no room for.
     bool may_have_backlog = false;
+    /// The limit of silence is suspended.
+    bool is_silence_allowed = false;
     bool is_head_read = false;
     bool is_reading = false;
     bool is_paused = false;
@@ -253,7 +253,7 @@
 {
     text = serializer();
     serializer = nullptr;
-    may_have_backlog = may_have_backlog || text.size() >= min_backlog_bytes;
+    may_have_backlog = true;
     asio::async_write(socket,
                       asio::buffer(text),
                       [self = shared_from_this()](error_code failure, std::size_t bytes)
@@ -550,8 +550,8 @@
 {
     auto& own = *m_implementation;
     if (own.may_have_backlog && own.socket.is_open())
-        own.may_have_backlog =
-            http::update_silence_limit(own.socket.native_handle(), server_silence_limit);
+        own.may_have_backlog = http::update_silence_limit(
+            own.socket.native_handle(), server_silence_limit, own.is_silence_allowed);
 }
 
 void server_connection::resume()
--- a/tests/libraries/silence_limit_test.cpp
+++ b/tests/libraries/silence_limit_test.cpp
@@ -28,6 +28,7 @@
 protected:
     support::raw_listener m_listener;
     int m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bool m_is_suspended = false;
 
     silence_limit_fixture()
     {
@@ -60,12 +61,12 @@
         }
     }
 
-    void update_for(milliseconds time) const
+    void update_for(milliseconds time)
     {
         constexpr auto interval = milliseconds(200);
         for (auto passed = milliseconds(0); passed < time; passed += interval)
         {
-            CHECK(http::update_silence_limit(m_socket, limit));
+            CHECK(http::update_silence_limit(m_socket, limit, m_is_suspended));
             std::this_thread::sleep_for(interval);
         }
     }
@@ -86,7 +87,7 @@
     auto const rest = peer.receive_rest();
     CHECK_FALSE(rest.is_reset);
     CHECK(rest.bytes.size() == sent);
-    CHECK_FALSE(http::update_silence_limit(m_socket, limit));
+    CHECK_FALSE(http::update_silence_limit(m_socket, limit, m_is_suspended));
 }
 
 } // namespace pistachiohub
