--- a/libraries/object_store/dialect.hpp
+++ b/libraries/object_store/dialect.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,8 @@
     std::vector<object> objects;
     /// Whether further pages follow the last object of this one.
     bool has_more = false;
+    /// How long ago the store had told this, if the answer is not its own and names the age.
+    std::optional<std::chrono::milliseconds> age = std::nullopt;
 };
 
 /// The functions of one object API. The decoders throw an exception of the standard library for an
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -131,7 +131,7 @@
             return {end, 0, {}, generation};
         auto read = decode(answer.body);
         has_more = read.has_more;
-        return {status::ok, read.revision, std::move(read.objects), generation};
+        return {status::ok, read.revision, std::move(read.objects), generation, read.age};
     }
     catch (http::cancelled const&)
     {
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -9,7 +9,9 @@
 #include "libraries/object_store/dialect.hpp"
 #include "libraries/object_store/object.hpp"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +37,8 @@
     std::vector<object> objects;
     /// Generation of the store that answered; 0 if it is unknown.
     std::uint64_t generation = 0;
+    /// See page::age.
+    std::optional<std::chrono::milliseconds> age = std::nullopt;
 };
 
 /// Result of a conditional update.
--- a/plugins/discovery/feed_history.cpp
+++ b/plugins/discovery/feed_history.cpp
@@ -93,7 +93,8 @@
     if (found == m_histories.end())
         return {};
     return {state_since(found->second, since, oldest),
-            changes_since(found->second, since.revision)};
+            changes_since(found->second, since.revision),
+            found->second.confirmed_at};
 }
 
 void feed_histories::set_wake_up(std::function<void()> wake_up)
--- a/plugins/discovery/feed_history.hpp
+++ b/plugins/discovery/feed_history.hpp
@@ -78,8 +78,10 @@
 struct history_answer
 {
     history_state state = history_state::is_stale;
-    /// Valid for `has_changes` and `is_current`.
+    /// Valid for `has_changes` and `is_current`, as is the next.
     object_store::list_result changes;
+    /// All changes until this time are known.
+    kernel::boot_time confirmed_at;
 };
 
 /// The histories of all kinds, shared by the feeds, which write them, and the relay.
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -99,6 +99,7 @@
     if (read.end == status::ok)
     {
         m_histories.update(m_kind, false, false, read, asked_at);
+        note_contact(asked_at - read.age.value_or(m_rhythm.longest_age));
         m_context.shared<relay_followers>().note_answer(kernel::boot_clock::now());
         accept(events::read_kind::changes, read);
         return true;
@@ -144,11 +145,9 @@
     count_read("store", read.end);
     m_newest_generation.note(read.generation);
     if (read.end != status::ok)
-        return handle_failure(read.end);
+        return handle_failure(read.end, asked_at);
     m_must_catch_up = false;
-    if (m_failures > 0)
-        report_contact(true, read.end);
-    m_failures = 0;
+    note_contact(asked_at);
     m_histories.update(m_kind, true, is_complete, read, asked_at);
     if (!is_complete)
         accept(events::read_kind::changes, read);
@@ -189,7 +188,7 @@
         .increment();
 }
 
-void object_feed::handle_failure(status end)
+void object_feed::handle_failure(status end, kernel::boot_time begun_at)
 {
     if (end == status::history_gone)
     {
@@ -202,14 +201,29 @@
         m_position.reset();
         return;
     }
-    if (++m_failures == 1 && !m_signal.is_stopping())
-        report_contact(false, end);
+    ++m_failures;
+    note_failure(m_contact, begun_at);
+    if (!m_signal.is_stopping())
+        report_contact(end);
     auto const random = std::uniform_real_distribution<double>(0, 1)(m_random);
     m_signal.wait_until(kernel::monotonic_now() + pause_after(m_failures, random));
 }
 
-void object_feed::report_contact(bool is_reachable, status end)
+void object_feed::note_contact(kernel::boot_time begun_at)
 {
+    note_answer(m_contact, begun_at);
+    if (is_store_away(m_contact))
+        return;
+    report_contact(status::ok);
+    m_failures = 0;
+}
+
+void object_feed::report_contact(status end)
+{
+    bool const is_reachable = !is_store_away(m_contact);
+    if (is_reachable != m_is_told_away)
+        return;
+    m_is_told_away = !is_reachable;
     kernel::log_event(is_reachable ? kernel::log_level::info : kernel::log_level::warning,
                       "discovery",
                       is_reachable ? "store_regained" : "store_lost",
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -10,6 +10,7 @@
 #include "libraries/fleet/relay_choice.hpp"
 #include "libraries/interface/interface.hpp"
 #include "libraries/object_store/object_store.hpp"
+#include "plugins/discovery/contact_record.hpp"
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/rhythm.hpp"
 #include "plugins/store/newest_generation.hpp"
@@ -55,8 +56,13 @@
     /// @returns whether the store was restored from an older copy since the last answer.
     [[nodiscard]] bool note_generation(std::uint64_t generation);
     void count_read(std::string_view source, object_store::status end);
-    void handle_failure(object_store::status end);
-    void report_contact(bool is_reachable, object_store::status end);
+    /// Handles a call of the store that failed.
+    void handle_failure(object_store::status end, kernel::boot_time begun_at);
+    /// Notes that the store answered this daemon or the one that it asked.
+    /// @param begun_at begin of the call that the store answered.
+    void note_contact(kernel::boot_time begun_at);
+    /// Tells the gateway whether the store is away, if this has changed.
+    void report_contact(object_store::status end);
     void deliver(events::gateway_event const& event);
 
     kernel::daemon_context& m_context;
@@ -81,6 +87,10 @@
     std::optional<object_store::position> m_position;
     /// Generation of the store in the last answer that named one.
     std::uint64_t m_generation = 0;
+    contact_record m_contact;
+    /// What the gateway was told last.
+    bool m_is_told_away = false;
+    /// Calls of the store that failed since the last contact.
     unsigned m_failures = 0;
 };
 
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -128,12 +128,12 @@
     {
         auto const& query = question.query;
         auto const longest_age = m_ages.find(query.kind)->second;
-        auto const [state, changes] =
-            m_histories.answer(query.kind, query.since, kernel::boot_clock::now() - longest_age);
-        if (state == history_state::is_current && now < question.ends_at)
+        auto const asked_at = kernel::boot_clock::now();
+        auto const told = m_histories.answer(query.kind, query.since, asked_at - longest_age);
+        if (told.state == history_state::is_current && now < question.ends_at)
             return false;
-        count(query.kind, state);
-        switch (state)
+        count(query.kind, told.state);
+        switch (told.state)
         {
         case history_state::is_gone:
             question.reply({http_gone, "{}"});
@@ -142,7 +142,10 @@
             question.reply({http_unavailable, "{\"reason\":\"stale\"}"});
             break;
         default:
-            question.reply({http_ok, encode_changes(changes)});
+            question.reply(
+                {http_ok,
+                 encode_changes(told.changes,
+                                std::chrono::ceil<milliseconds>(asked_at - told.confirmed_at))});
         }
         return true;
     }
--- a/plugins/discovery/relay_dialect.cpp
+++ b/plugins/discovery/relay_dialect.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace pistachiohub::discovery
@@ -34,6 +35,9 @@
     auto const& members = document.as_object();
     object_store::page result;
     result.revision = members.at("revision").to_number<std::uint64_t>();
+    // Earlier releases tell no age.
+    if (auto const* const age = members.if_contains("age_ms"))
+        result.age = std::chrono::milliseconds(age->to_number<std::uint32_t>());
     for (auto const& item : members.at("objects").as_array())
     {
         auto const& fields = item.as_object();
@@ -101,7 +105,7 @@
                         std::chrono::milliseconds(*wait_ms)};
 }
 
-std::string encode_changes(object_store::list_result const& changes)
+std::string encode_changes(object_store::list_result const& changes, std::chrono::milliseconds age)
 {
     json::array objects;
     for (auto const& changed : changes.objects)
@@ -110,8 +114,9 @@
                            {"value", changed.value},
                            {"observed", changed.observed},
                            {"is_removed", changed.is_removed}});
-    return json::serialize(
-        json::object{{"revision", changes.revision}, {"objects", std::move(objects)}});
+    return json::serialize(json::object{{"revision", changes.revision},
+                                        {"age_ms", std::max<std::int64_t>(age.count(), 0)},
+                                        {"objects", std::move(objects)}});
 }
 
 } // namespace pistachiohub::discovery
--- a/plugins/discovery/relay_dialect.hpp
+++ b/plugins/discovery/relay_dialect.hpp
@@ -32,7 +32,9 @@
 [[nodiscard]] std::optional<change_query> parse_change_query(std::string_view path,
                                                              std::string_view query);
 
+/// @param age time since the call of the store that confirmed the changes began.
 /// @returns the body of the answer to a watch.
-[[nodiscard]] std::string encode_changes(object_store::list_result const& changes);
+[[nodiscard]] std::string encode_changes(object_store::list_result const& changes,
+                                         std::chrono::milliseconds age);
 
 } // namespace pistachiohub::discovery
--- a/tests/discovery/feed_history_test.cpp
+++ b/tests/discovery/feed_history_test.cpp
@@ -186,8 +186,10 @@
     auto changed = make_object("i-1", 13, true);
     changed.value = R"({"quoted": "\"text\""})";
     changed.observed = R"({"state": "ready"})";
-    auto const page = spoken.decode_changes(discovery::encode_changes(make_changes(14, {changed})));
+    auto const page = spoken.decode_changes(
+        discovery::encode_changes(make_changes(14, {changed}), milliseconds(250)));
     CHECK(page.revision == 14);
+    CHECK(page.age == milliseconds(250));
     REQUIRE(page.objects.size() == 1);
     CHECK(page.objects[0].name == changed.name);
     CHECK(page.objects[0].version == changed.version);
--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -9,6 +9,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
 #include <unistd.h>
 
 namespace pistachiohub
@@ -65,6 +70,45 @@
         m_running = std::make_unique<support::running_duty>(*m_duty);
     }
 
+    void choose_relay(support::raw_listener const& relay)
+    {
+        m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
+            std::make_shared<fleet::relay_choice const>(
+                fleet::relay_choice{"host-2", {"127.0.0.1", relay.port()}}));
+    }
+
+    /// Starts a feed that reads through the relay, and loses first the relay and then the store.
+    /// @returns the connection of the next question to the relay, which was received.
+    [[nodiscard]] support::raw_connection start_feed_without_store(support::raw_listener& relay)
+    {
+        start("evacuation feed");
+        auto store = m_store.accept();
+        REQUIRE_FALSE(store.receive_message().empty());
+        choose_relay(relay);
+        answer(store, "200 OK", R"({"items": [], "has_more": false, "at": 5})");
+        auto asked = relay.accept();
+        REQUIRE_FALSE(asked.receive_message().empty());
+        answer(asked, "503 Service Unavailable", "{}");
+        auto silent = m_store.accept();
+        REQUIRE_FALSE(silent.receive_message().empty());
+        REQUIRE_FALSE(asked.receive_message().empty());
+        REQUIRE(take_contacts() == std::vector<bool>{false});
+        return asked;
+    }
+
+    /// @returns whether the store is reachable, for each time that the gateway was told so.
+    [[nodiscard]] std::vector<bool> take_contacts()
+    {
+        std::vector<bool> taken;
+        m_context.shared<kernel::mailbox<events::gateway_event>>().drain(
+            [&taken](events::gateway_event&& event)
+            {
+                if (auto const* const contact = std::get_if<events::store_contact>(&event))
+                    taken.push_back(contact->is_reachable);
+            });
+        return taken;
+    }
+
     void note(std::uint64_t revision,
               std::vector<object_store::object> objects,
               bool is_complete = false,
@@ -148,9 +192,7 @@
     start("evacuation feed");
     auto first = m_store.accept();
     REQUIRE_FALSE(first.receive_message().empty());
-    m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
-        std::make_shared<fleet::relay_choice const>(
-            fleet::relay_choice{"host-2", {"127.0.0.1", relay.port()}}));
+    choose_relay(relay);
     answer(first, "200 OK", R"({"items": [], "has_more": false, "at": 5})");
     auto asked = relay.accept();
     CHECK(asked.receive_message().starts_with("GET /v1/changes/evacuations/host-1/9?after=5&"));
@@ -163,6 +205,51 @@
     answer(second, "200 OK", R"({"events": [], "at": 8})");
 }
 
+// Guards against a daemon that takes the store for away for ever, and lost hosts for live, because
+// the relay that it follows got through to the store first after an outage.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_contact_of_the_relay_ends_the_outage",
+                 "[discovery][concurrent]")
+{
+    support::raw_listener relay;
+    auto asked = start_feed_without_store(relay);
+    answer(asked, "200 OK", R"({"revision": 5, "age_ms": 0, "objects": []})");
+    REQUIRE_FALSE(asked.receive_message().empty());
+    CHECK(take_contacts() == std::vector<bool>{true});
+}
+
+// Guards against a store that counts as back, so that live hosts are taken for lost, because of
+// what a relay that is itself cut off had read before the outage.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_older_contact_of_the_relay_does_not_end_the_outage",
+                 "[discovery][concurrent]")
+{
+    support::raw_listener relay;
+    auto asked = start_feed_without_store(relay);
+    answer(asked, "200 OK", R"({"revision": 6, "age_ms": 60000, "objects": []})");
+    REQUIRE(asked.receive_message().find("?after=6&") != std::string::npos);
+    CHECK(take_contacts().empty());
+    answer(asked, "200 OK", R"({"revision": 7, "age_ms": 0, "objects": []})");
+    REQUIRE(asked.receive_message().find("?after=7&") != std::string::npos);
+    CHECK(take_contacts() == std::vector<bool>{true});
+}
+
+// Guards against followers that cannot tell whether the relay read the store before or after their
+// own call failed.
+TEST_CASE_METHOD(discovery_fixture, "relay_answer_tells_its_age", "[discovery][concurrent]")
+{
+    constexpr auto age = milliseconds(700);
+    start("relay");
+    note(5, {}, true);
+    note(6, {make_evacuation("sve-a", 6)}, false, true, kernel::boot_clock::now() - age);
+    auto const told = ask(5, 4000).receive_message();
+    CHECK(told.starts_with("HTTP/1.1 200 "));
+    std::string const name = R"("age_ms":)";
+    auto const position = told.find(name);
+    REQUIRE(position != std::string::npos);
+    CHECK(std::stoi(told.substr(position + name.size())) >= age.count());
+}
+
 // Guards against changes that are missed when the store comes back from an older copy: it gives out
 // revisions again, so a watch from before goes on in another history without any sign but the
 // header.
