--- a/standins/platform/messages.py
+++ b/standins/platform/messages.py
@@ -17,8 +17,8 @@
         return int(self.start.split(" ", 2)[1])
 
 
-async def read_message(reader):
-    """Returns the next message, or None at the end of the connection."""
+async def read_head(reader):
+    """Returns the next message without its body, which is still to be read."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
     headers = {}
@@ -26,8 +26,18 @@
         if line:
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Message(lines[0], headers, body)
+    return Message(lines[0], headers, b"")
+
+
+async def read_body(reader, message):
+    message.body = await reader.readexactly(int(message.headers.get("content-length", 0)))
+
+
+async def read_message(reader):
+    """Returns the next message; raises IncompleteReadError if the connection ends before its end."""
+    message = await read_head(reader)
+    await read_body(reader, message)
+    return message
 
 
 def make_message(start, headers, body=b""):
