--- a/libraries/http/silence_limit.cpp
+++ b/libraries/http/silence_limit.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdint>
 
 namespace pistachiohub::http
 {
@@ -19,6 +20,8 @@
 
 // Probes without an answer after which a connection is broken.
 constexpr int most_probes = 2;
+// Longer than an acknowledgement takes between any two hosts.
+constexpr std::uint32_t min_silence_ms = 1000;
 
 bool set_option(int socket, int level, int option, int value)
 {
@@ -36,13 +39,16 @@
     return ::ioctl(socket, SIOCOUTQNSD, &bytes) == 0 && bytes > 0;
 }
 
-// Whether everything sent has been acknowledged, also the probes of a closed receive window.
-bool is_acknowledging(int socket)
+// Whether sent data, or the probes of a closed receive window, have gone without an acknowledgement
+// for longer than a living peer takes.
+bool is_silent(int socket)
 {
     tcp_info state{};
     socklen_t size = sizeof(state);
-    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &state, &size) == 0 &&
-           state.tcpi_unacked == 0 && state.tcpi_probes < most_probes;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &state, &size) != 0)
+        return true;
+    return state.tcpi_probes >= most_probes ||
+           (state.tcpi_unacked > 0 && state.tcpi_last_ack_recv >= min_silence_ms);
 }
 
 } // namespace
@@ -65,7 +71,7 @@
 bool update_silence_limit(int socket, kernel::duration limit, bool& is_suspended)
 {
     bool const is_waiting = has_unsent_data(socket);
-    bool const is_to_suspend = is_waiting && is_acknowledging(socket);
+    bool const is_to_suspend = is_waiting && !is_silent(socket);
     if (is_to_suspend != is_suspended)
         set_option(
             socket, IPPROTO_TCP, TCP_USER_TIMEOUT, is_to_suspend ? 0 : to_milliseconds(limit));
--- a/libraries/http/silence_limit.hpp
+++ b/libraries/http/silence_limit.hpp
@@ -13,8 +13,9 @@
 /// @param socket a connected TCP socket.
 void set_silence_limit(int socket, kernel::duration limit);
 
-/// Suspends the limit while the other side acknowledges everything but takes no data, which the
-/// kernel would count as silence. To be called several times within `limit` while data may wait.
+/// Suspends the limit while data waits for the other side, unless that is silent. The kernel also
+/// counts the time without room at a living peer, and may count it from an earlier such time on. To
+/// be called after each write, and then several times within `limit` while data waits.
 /// @param limit as given to set_silence_limit().
 /// @param is_suspended false before the first call; kept for the next one.
 /// @returns whether data waits for the other side.
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -349,8 +349,7 @@
     void close_if_overdue(kernel::monotonic_time now)
     {
         if (m_may_have_backlog)
-            m_may_have_backlog = http::update_silence_limit(
-                m_socket.native_handle(), caller_silence_limit, m_is_silence_allowed);
+            update_silence_limit();
         auto const idle = now - m_active_at;
         if (m_is_lingering)
             return idle > linger_timeout ? close("lingered") : void();
@@ -638,12 +637,12 @@
         m_output = std::move(text);
         m_output_claim.set(m_output.size());
         m_is_writing = true;
-        m_may_have_backlog = true;
         m_active_at = kernel::monotonic_now();
         // A caller that reads slowly, but does read, is not cut off.
         auto const note_progress = [this](error_code failure, std::size_t) -> std::size_t
         {
             m_active_at = kernel::monotonic_now();
+            update_silence_limit();
             return failure ? 0 : max_written_at_once;
         };
         asio::async_write(m_socket,
@@ -657,6 +656,13 @@
                               self->m_output_claim.set(0);
                               self->on_written(failure);
                           });
+        update_silence_limit();
+    }
+
+    void update_silence_limit()
+    {
+        m_may_have_backlog = http::update_silence_limit(
+            m_socket.native_handle(), caller_silence_limit, m_is_silence_allowed);
     }
 
     void on_written(error_code failure)
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -34,6 +34,8 @@
 constexpr std::uint32_t max_header_bytes = 65536;
 // Bytes that are read at a time.
 constexpr std::size_t read_chunk_bytes = 16384;
+// Bytes that are written at a time.
+constexpr std::size_t write_chunk_bytes = 65536;
 // Input that is not parsed yet. A chunk header or a trailer that does not end is refused there.
 constexpr std::size_t max_unparsed_bytes = max_header_bytes + read_chunk_bytes;
 // Answers up to this size are collected, so that a broken one can be repeated at another server.
@@ -159,6 +161,7 @@
 
     void connect();
     void write();
+    void update_silence_limit();
     void start_message();
     void read();
     void parse();
@@ -253,9 +256,14 @@
 {
     text = serializer();
     serializer = nullptr;
-    may_have_backlog = true;
+    auto const note_progress = [this](error_code failure, std::size_t) -> std::size_t
+    {
+        update_silence_limit();
+        return failure ? 0 : write_chunk_bytes;
+    };
     asio::async_write(socket,
                       asio::buffer(text),
+                      note_progress,
                       [self = shared_from_this()](error_code failure, std::size_t bytes)
                       {
                           self->is_request_written = !failure;
@@ -266,11 +274,18 @@
                           if (failure && bytes == 0)
                               self->finish(attempt_result::never_sent, "write_failed");
                       });
+    update_silence_limit();
     // Reading starts immediately, because a server may answer before it has read a long body.
     start_message();
     read();
 }
 
+void server_connection::implementation::update_silence_limit()
+{
+    may_have_backlog = http::update_silence_limit(
+        socket.native_handle(), server_silence_limit, is_silence_allowed);
+}
+
 void server_connection::implementation::start_message()
 {
     answer_parser.emplace();
@@ -550,8 +565,7 @@
 {
     auto& own = *m_implementation;
     if (own.may_have_backlog && own.socket.is_open())
-        own.may_have_backlog = http::update_silence_limit(
-            own.socket.native_handle(), server_silence_limit, own.is_silence_allowed);
+        own.update_silence_limit();
 }
 
 void server_connection::resume()
--- a/tests/libraries/silence_limit_test.cpp
+++ b/tests/libraries/silence_limit_test.cpp
@@ -61,6 +61,17 @@
         }
     }
 
+    /// Sends a message that the kernel takes at once, and that is larger than the peer's room.
+    void send_message()
+    {
+        constexpr std::size_t body_bytes = 1'000'000;
+        auto const message = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body_bytes) +
+                             "\r\n\r\n" + std::string(body_bytes, 'x');
+        REQUIRE(::send(m_socket, message.data(), message.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(message.size()));
+        CHECK(http::update_silence_limit(m_socket, limit, m_is_suspended));
+    }
+
     void update_for(milliseconds time)
     {
         constexpr auto interval = milliseconds(200);
@@ -90,4 +101,20 @@
     CHECK_FALSE(http::update_silence_limit(m_socket, limit, m_is_suspended));
 }
 
+// Failure: as above, at the second time without room. The kernel counted from the first one.
+TEST_CASE_METHOD(silence_limit_fixture,
+                 "silence_limit_of_a_peer_that_reads_late_again_keeps_the_connection",
+                 "[http]")
+{
+    auto peer = m_listener.accept();
+    for (int pause = 0; pause < 3; ++pause)
+    {
+        send_message();
+        update_for(limit);
+        CHECK_FALSE(peer.receive_message().empty());
+        CHECK_FALSE(http::update_silence_limit(m_socket, limit, m_is_suspended));
+        std::this_thread::sleep_for(2 * limit);
+    }
+}
+
 } // namespace pistachiohub
