--- a/tests/libraries/silence_limit_test.cpp
+++ b/tests/libraries/silence_limit_test.cpp
@@ -22,27 +22,40 @@
 
 constexpr auto limit = milliseconds(1000);
 
-/// A non-blocking connection with the limit, to a peer that reads only when it is told to.
+/// A connection with the limit, to a peer that reads only when it is told to.
 class silence_limit_fixture
 {
 protected:
-    support::raw_listener m_listener;
+    int m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     bool m_is_suspended = false;
 
     silence_limit_fixture()
     {
+        // A peer that reads much would otherwise get more room.
+        int const room = 65536;
+        REQUIRE(::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room)) == 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
-        address.sin_port = htons(m_listener.port());
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        auto* const any = reinterpret_cast<sockaddr*>(&address);
+        socklen_t size = sizeof(address);
+        REQUIRE(::bind(m_listener, any, size) == 0);
+        REQUIRE(::listen(m_listener, 1) == 0);
+        REQUIRE(::getsockname(m_listener, any, &size) == 0);
+        REQUIRE(::connect(m_socket, any, size) == 0);
         http::set_silence_limit(m_socket, limit);
     }
 
     ~silence_limit_fixture()
     {
         ::close(m_socket);
+        ::close(m_listener);
+    }
+
+    [[nodiscard]] support::raw_connection accept() const
+    {
+        return support::raw_connection(::accept(m_listener, nullptr, nullptr));
     }
 
     /// Sends until the kernel takes no more.
@@ -91,7 +104,7 @@
                  "silence_limit_of_a_peer_that_reads_late_keeps_the_connection",
                  "[http]")
 {
-    auto peer = m_listener.accept();
+    auto peer = accept();
     auto const sent = fill();
     update_for(4 * limit);
     ::shutdown(m_socket, SHUT_WR);
@@ -106,7 +119,7 @@
                  "silence_limit_of_a_peer_that_reads_late_again_keeps_the_connection",
                  "[http]")
 {
-    auto peer = m_listener.accept();
+    auto peer = accept();
     for (int pause = 0; pause < 3; ++pause)
     {
         send_message();
