--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -52,6 +52,12 @@
     result.cold_factor = reader.number_or("cold_factor", 0, largest_count, result.cold_factor);
     result.cold_slack = reader.number_or("cold_slack", 0, largest_count, result.cold_slack);
     result.shift = reader.number_or("shift", 0, 1, result.shift);
+    result.has_strict_revocation =
+        reader.flag_or("strict_revocation", result.has_strict_revocation);
+    result.revocation = time_ms_or(reader, "revocation_ms", result.revocation);
+    result.quota_window = time_s_or(reader, "quota_window_s", result.quota_window);
+    result.quota_excess = reader.number_or("quota_excess", 0, 1, result.quota_excess);
+    result.quota_slack = reader.number_or("quota_slack", 0, largest_count, result.quota_slack);
     reader.refuse_unknown_keys();
     return result;
 }
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -39,6 +39,15 @@
     double cold_slack = 0;
     /// Largest fraction of a region's requests that may change their region within two seconds.
     double shift = 0.15;
+    /// Whether a key that was removed must not be in use longer than `revocation`, on any host.
+    bool has_strict_revocation = false;
+    std::chrono::milliseconds revocation{5000};
+    /// Window over which the quota of a customer is measured.
+    std::chrono::milliseconds quota_window{5000};
+    /// Fraction by which the requests of a window may exceed the quota.
+    double quota_excess = 0.1;
+    /// Requests by which those of a window may exceed the quota in addition.
+    double quota_slack = 20;
 };
 
 /// What the daemon may use of its host; weighs it against other entry hosts.
--- a/kernel/settings_reader.cpp
+++ b/kernel/settings_reader.cpp
@@ -125,6 +125,16 @@
                              std::to_string(highest));
 }
 
+bool settings_reader::flag_or(std::string_view key, bool fallback)
+{
+    auto const* const value = find(key);
+    if (value == nullptr)
+        return fallback;
+    if (!value->is_bool())
+        throw settings_error(key_path(key), json::serialize(*value), "true or false");
+    return value->get_bool();
+}
+
 endpoint settings_reader::required_endpoint(std::string_view key)
 {
     auto const& value = require(key, endpoint_rule);
--- a/kernel/settings_reader.hpp
+++ b/kernel/settings_reader.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] double
     number_or(std::string_view key, double lowest, double highest, double fallback);
 
+    /// @returns the flag, or `fallback` when the key is missing.
+    [[nodiscard]] bool flag_or(std::string_view key, bool fallback);
+
     /// @returns an address with its port; the key is required.
     [[nodiscard]] endpoint required_endpoint(std::string_view key);
 
--- a/libraries/routing/route.hpp
+++ b/libraries/routing/route.hpp
@@ -3,8 +3,11 @@
 /// @file
 /// Routes, services and limits of one version of the gateway's configuration.
 
+#include "libraries/routing/customer.hpp"
+
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +52,8 @@
     std::vector<split_part> split;
     /// Regions that may serve the route; empty permits all.
     std::vector<std::string> home_regions;
+    /// Whether its requests need no key where the configuration names customers.
+    bool is_key_exempt = false;
     /// Whether all fields that bind could be read; requests of an unreadable route are refused.
     bool is_readable = true;
 };
@@ -90,6 +95,8 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
+    /// Missing if the configuration names no customers; requests then need no key.
+    std::optional<std::vector<customer>> customers;
     caller_limits limits;
     /// What could not be read; the rest applies.
     std::vector<unreadable_part> unreadable;
--- a/libraries/routing/routing_table.cpp
+++ b/libraries/routing/routing_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <span>
 
 namespace pistachiohub::routing
 {
@@ -26,6 +27,21 @@
     return result;
 }
 
+void index_keys(std::span<customer const> customers,
+                text_map<std::optional<std::size_t>>& customers_by_key)
+{
+    for (std::size_t position = 0; position < customers.size(); ++position)
+    {
+        for (auto const& key : customers[position].keys)
+        {
+            auto const [entry, is_new] = customers_by_key.emplace(key, position);
+            // A customer may list its key twice.
+            if (!is_new && entry->second != position)
+                entry->second.reset();
+        }
+    }
+}
+
 } // namespace
 
 std::shared_ptr<routing_table const> make_routing_table(routing_document document)
@@ -39,9 +55,21 @@
     auto const& services = table->document.services;
     for (std::size_t position = 0; position < services.size(); ++position)
         table->services_by_name.emplace(services[position].name, position);
+    if (table->document.customers)
+        index_keys(*table->document.customers, table->customers_by_key);
     return table;
 }
 
+found_customer find_customer(routing_table const& table, std::string_view key)
+{
+    auto const found = table.customers_by_key.find(key);
+    if (found == table.customers_by_key.end())
+        return {};
+    if (!found->second)
+        return {nullptr, true};
+    return {&(*table.document.customers)[*found->second], false};
+}
+
 route const* find_route(routing_table const& table, std::string_view host, std::string_view target)
 {
     auto const found_host = table.routes_by_host.find(normalise_host(host));
--- a/libraries/routing/routing_table.hpp
+++ b/libraries/routing/routing_table.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +43,8 @@
     text_map<text_map<std::size_t>> routes_by_host;
     /// Positions in `document.services` by name.
     text_map<std::size_t> services_by_name;
+    /// Positions in `document.customers` by key; missing for a key that several customers claim.
+    text_map<std::optional<std::size_t>> customers_by_key;
 };
 
 /// Builds the index of a document.
@@ -54,6 +57,17 @@
 [[nodiscard]] route const*
 find_route(routing_table const& table, std::string_view host, std::string_view target);
 
+/// Result of the search for a customer.
+struct found_customer
+{
+    /// Null if nobody has the key, or several customers claim it.
+    customer const* holder = nullptr;
+    bool is_claimed_by_several = false;
+};
+
+/// Finds the customer that holds a key, in constant time.
+[[nodiscard]] found_customer find_customer(routing_table const& table, std::string_view key);
+
 /// @returns the service, or null.
 [[nodiscard]] service const* find_service(routing_table const& table, std::string_view name);
 
--- a/plugins/gateway/refusal.cpp
+++ b/plugins/gateway/refusal.cpp
@@ -19,7 +19,7 @@
 refusal_status const& status_of(refusal cause)
 {
     // In the order of the enumerators of `refusal`.
-    static constexpr std::array<refusal_status, 15> statuses{{
+    static constexpr std::array<refusal_status, 18> statuses{{
         {"no_configuration", 503, "Service Unavailable"},
         {"no_route", 404, "Not Found"},
         {"no_server", 503, "Service Unavailable"},
@@ -35,6 +35,9 @@
         {"quarantined", 503, "Service Unavailable"},
         {"unreadable_configuration", 503, "Service Unavailable"},
         {"leaving", 503, "Service Unavailable"},
+        {"unknown_key", 401, "Unauthorized"},
+        {"over_quota", 429, "Too Many Requests"},
+        {"stale_configuration", 503, "Service Unavailable"},
     }};
     return statuses.at(static_cast<std::size_t>(cause));
 }
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -44,7 +44,14 @@
     /// The part of the configuration that applies to the request cannot be read. Not run.
     unreadable_configuration,
     /// The process is about to end, probably before the request would. Not run.
-    leaving
+    leaving,
+    /// The request has no key of a customer, though its route needs one.
+    unknown_key,
+    /// The customer has used up its quota over all hosts. Not run.
+    over_quota,
+    /// The configuration was confirmed too long ago to know whether the key is still valid. Not
+    /// run.
+    stale_configuration
 };
 
 /// @returns the name used in logs and metric labels.
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -43,6 +43,8 @@
     /// Configuration in force when the request arrived; it applies until the request ends.
     std::shared_ptr<routing::routing_table const> table;
     routing::route const* route = nullptr;
+    /// The customer that holds the request's key; null without one. Part of `table`.
+    routing::customer const* customer = nullptr;
     std::string service;
     /// Hash of the object's key, for routes with affinity; empty if the caller sent no key.
     std::optional<std::uint64_t> affinity_key;
