customer: Identify customers by keys, and refuse keys without contact to the store

Cause: Requests had no customer: keys were forwarded to backend servers, and a configuration with customers was served to everybody. Change: The platform's decoder reads tenants, auth_exempt and uploads. plugins/customer judges the key of each request in pure functions, with the last readable version of each customer. With strict revocation the configuration feed tells the gateway behind each call when the configuration was confirmed, and keys are refused when that is older than 0.8 x revocation; the feed's rhythm keeps a host that reads through another one below that age. Requests wait by the priority of the customer and then of the route, and run only in home regions of both. Backend servers get the name of the customer and never its key.

--- a/libraries/events/gateway_event.hpp
+++ b/libraries/events/gateway_event.hpp
@@ -65,6 +65,14 @@
     bool is_reachable = false;
 };
 
+/// The store has confirmed the configuration in force. Sent behind the changes of the same call, so
+/// that it never overtakes one of them.
+struct configuration_confirmed
+{
+    /// Begin of the call that confirmed it, by this daemon or by another one that told of it.
+    kernel::boot_time begun_at;
+};
+
 /// A graceful shutdown began; wakes the gateway, which asks the kernel when it was.
 struct drain_begun
 {
@@ -76,6 +84,7 @@
                                    store_update<evacuation>,
                                    store_update<fleet::entry_host>,
                                    store_contact,
+                                   configuration_confirmed,
                                    drain_begun>;
 
 } // namespace pistachiohub::events
--- a/libraries/interface/interface.hpp
+++ b/libraries/interface/interface.hpp
@@ -63,6 +63,12 @@
     std::string_view not_started;
     /// Running requests, waiting requests and slots of the backend server.
     std::string_view load;
+    /// Header of a caller with the key of its customer.
+    std::string_view credentials;
+    /// Authentication scheme before the key in that header, regardless of case.
+    std::string_view credentials_scheme;
+    /// Name of the customer, for backend servers.
+    std::string_view customer;
     /// Reads what an answer with the given status says of its backend server.
     server_notice (*read_notice)(unsigned status, header_lookup const& headers) = nullptr;
 };
--- a/libraries/routing/customer.hpp
+++ b/libraries/routing/customer.hpp
@@ -28,6 +28,9 @@
     std::vector<std::string> home_regions;
     /// Whether all fields that bind could be read; requests of an unreadable customer are refused.
     bool is_readable = true;
+    /// Whether `keys` holds all keys; otherwise those that could be read. False only for an
+    /// unreadable customer.
+    bool has_all_keys = true;
 };
 
 } // namespace pistachiohub::routing
--- a/libraries/routing/route.hpp
+++ b/libraries/routing/route.hpp
@@ -97,6 +97,9 @@
     std::vector<service> services;
     /// Missing if the configuration names no customers; requests then need no key.
     std::optional<std::vector<customer>> customers;
+    /// Whether the configuration names customers in a form that cannot be read at all; `customers`
+    /// is empty then. Nothing is known of any key.
+    bool are_customers_unreadable = false;
     caller_limits limits;
     /// What could not be read; the rest applies.
     std::vector<unreadable_part> unreadable;
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -74,7 +74,8 @@
 std::unique_ptr<kernel::duty> make_feed(kernel::daemon_context& context,
                                         std::string_view kind,
                                         feed_rhythm const& rhythm,
-                                        Decode decode)
+                                        Decode decode,
+                                        object_feed::confirmed_function confirmed = {})
 {
     auto convert =
         [&context, kind, decode](events::read_kind read_as, object_store::list_result const& read)
@@ -99,12 +100,19 @@
         }
         return events::gateway_event(std::move(update));
     };
-    return std::make_unique<object_feed>(context, interface_of(context), kind, rhythm, convert);
+    return std::make_unique<object_feed>(
+        context, interface_of(context), kind, rhythm, convert, std::move(confirmed));
 }
 
 std::unique_ptr<kernel::duty> create_configuration_feed(kernel::daemon_context& context)
 {
     auto const& spoken = interface_of(context);
+    object_feed::confirmed_function confirmed;
+    if (bounds_of(context).has_strict_revocation)
+        confirmed = [](kernel::boot_time begun_at)
+        {
+            return events::gateway_event(events::configuration_confirmed{begun_at});
+        };
     return make_feed<routing::routing_document>(
         context,
         spoken.kinds.configuration,
@@ -117,7 +125,8 @@
             auto document = spoken.decode_configuration(read);
             log_unreadable_parts(context, read, document);
             return document;
-        });
+        },
+        std::move(confirmed));
 }
 
 std::unique_ptr<kernel::duty> create_server_feed(kernel::daemon_context& context)
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -51,11 +51,13 @@
                          interface::deployment_interface const& spoken,
                          std::string_view kind,
                          feed_rhythm const& rhythm,
-                         convert_function convert)
+                         convert_function convert,
+                         confirmed_function confirmed)
     : m_context(context)
     , m_kind(kind)
     , m_rhythm(rhythm)
     , m_convert(std::move(convert))
+    , m_confirmed(std::move(confirmed))
     , m_gateway(context.shared<kernel::mailbox<events::gateway_event>>())
     , m_histories(context.shared<feed_histories>())
     , m_newest_generation(context.shared<store::newest_generation>())
@@ -99,9 +101,10 @@
     if (read.end == status::ok)
     {
         m_histories.update(m_kind, false, false, read, asked_at);
-        note_contact(asked_at - read.age.value_or(m_rhythm.longest_age));
+        auto const confirmed_at = asked_at - read.age.value_or(m_rhythm.longest_age);
+        note_contact(confirmed_at);
         m_context.shared<relay_followers>().note_answer(kernel::boot_clock::now());
-        accept(events::read_kind::changes, read);
+        accept(events::read_kind::changes, read, confirmed_at);
         return true;
     }
     if (read.end == status::cancelled)
@@ -150,20 +153,25 @@
     note_contact(asked_at);
     m_histories.update(m_kind, true, is_complete, read, asked_at);
     if (!is_complete)
-        accept(events::read_kind::changes, read);
+        accept(events::read_kind::changes, read, asked_at);
     else
         accept(note_generation(read.generation) ? events::read_kind::restored_list
                                                 : events::read_kind::list,
-               read);
+               read,
+               asked_at);
     m_signal.wait_until(earliest_next);
 }
 
-void object_feed::accept(events::read_kind kind, object_store::list_result const& read)
+void object_feed::accept(events::read_kind kind,
+                         object_store::list_result const& read,
+                         kernel::boot_time confirmed_at)
 {
     // The answers of other daemons name no generation: they hold changes of the one asked for.
     m_position = {m_generation, read.revision};
     if (kind != events::read_kind::changes || !read.objects.empty())
         deliver(m_convert(kind, read));
+    if (m_confirmed)
+        deliver(m_confirmed(confirmed_at));
 }
 
 bool object_feed::note_generation(std::uint64_t generation)
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -35,11 +35,17 @@
     using convert_function = std::function<events::gateway_event(
         events::read_kind kind, object_store::list_result const& read)>;
 
+    /// Makes the message that tells the gateway when its view was confirmed, from the begin of the
+    /// call that did it.
+    using confirmed_function = std::function<events::gateway_event(kernel::boot_time begun_at)>;
+
+    /// @param confirmed may be empty; the gateway is told nothing then.
     object_feed(kernel::daemon_context& context,
                 interface::deployment_interface const& spoken,
                 std::string_view kind,
                 feed_rhythm const& rhythm,
-                convert_function convert);
+                convert_function convert,
+                confirmed_function confirmed);
 
     void run() override;
     void request_stop() override;
@@ -51,7 +57,11 @@
     /// @returns false when the store is to be read instead.
     [[nodiscard]] bool poll_relay(fleet::relay_choice const& relay);
     [[nodiscard]] object_store::client& client_of(fleet::relay_choice const& relay);
-    void accept(events::read_kind kind, object_store::list_result const& read);
+    /// Hands what was read to the gateway, and then that its view is confirmed.
+    /// @param confirmed_at all changes until this time are known.
+    void accept(events::read_kind kind,
+                object_store::list_result const& read,
+                kernel::boot_time confirmed_at);
     /// Notes the generation of the store that answered.
     /// @returns whether the store was restored from an older copy since the last answer.
     [[nodiscard]] bool note_generation(std::uint64_t generation);
@@ -69,6 +79,7 @@
     std::string m_kind;
     feed_rhythm m_rhythm;
     convert_function m_convert;
+    confirmed_function m_confirmed;
     kernel::mailbox<events::gateway_event>& m_gateway;
     feed_histories& m_histories;
     store::newest_generation& m_newest_generation;
--- a/plugins/discovery/rhythm.cpp
+++ b/plugins/discovery/rhythm.cpp
@@ -1,5 +1,9 @@
 #include "plugins/discovery/rhythm.hpp"
 
+#include "plugins/customer/contact.hpp"
+
+#include <algorithm>
+
 namespace pistachiohub::discovery
 {
 
@@ -48,7 +52,12 @@
 
 feed_rhythm configuration_rhythm(kernel::gateway_bounds const& bounds)
 {
-    return rare_rhythm(bounds.configuration_apply);
+    // With strict revocation a host refuses requests with keys once its contact is too old. A host
+    // that reads through another one must stay below that age.
+    return rare_rhythm(
+        bounds.has_strict_revocation
+            ? std::min(bounds.configuration_apply, customer::longest_contact_age(bounds))
+            : bounds.configuration_apply);
 }
 
 feed_rhythm evacuation_rhythm(kernel::gateway_bounds const& bounds)
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "kernel/log.hpp"
 #include "libraries/http/server.hpp"
 #include "libraries/http/silence_limit.hpp"
+#include "plugins/customer/credentials.hpp"
 #include "plugins/gateway/affinity.hpp"
 #include "plugins/gateway/message_text.hpp"
 #include "plugins/gateway/refusal.hpp"
@@ -513,6 +514,8 @@
         auto const key = find_cookie(find_header_value(headers, "Cookie"), names.affinity_cookie);
         if (!key.empty())
             request->affinity_key = hash_text(key);
+        request->key = customer::read_key(find_header_values(headers, names.credentials),
+                                          names.credentials_scheme);
         request->arrived_at = m_request_began_at;
         request->caller_deadline =
             m_request_began_at + parse_deadline(find_header_value(headers, names.remaining_ms));
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cassert>
 #include <set>
+#include <tuple>
 
 namespace pistachiohub::gateway
 {
@@ -64,12 +65,17 @@
 // Limit of log lines per second for requests, whether they were served or not.
 constexpr double request_log_lines_per_second = 100;
 
-// Orders waiting requests by priority and then by arrival.
+// Orders waiting requests by the priority of the customer, that of the route, and arrival. Without
+// a customer a request has the highest one of customers: only exempt routes have such requests, and
+// their own priority orders them.
 bool comes_before(request_pointer const& left, request_pointer const& right)
 {
-    if (left->route->priority != right->route->priority)
-        return left->route->priority < right->route->priority;
-    return left->arrived_at < right->arrived_at;
+    auto const rank = [](gateway_request const& request)
+    {
+        auto const of_customer = request.customer != nullptr ? request.customer->priority : 0;
+        return std::tuple(of_customer, request.route->priority, request.arrived_at);
+    };
+    return rank(*left) < rank(*right);
 }
 
 std::int64_t ms_between(kernel::monotonic_time from, kernel::monotonic_time to)
@@ -148,6 +154,7 @@
     , m_actions(std::move(actions))
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
+    , m_contact(customer::make_contact(m_bounds))
 {
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
@@ -180,7 +187,7 @@
 bool dispatcher::is_starting() const
 {
     bool const has_servers = m_servers.is_loaded || !m_servers.servers.empty();
-    return !m_has_start_failed && (!m_table || !has_servers);
+    return !m_has_start_failed && (!m_table || !has_servers || awaits_confirmation());
 }
 
 void dispatcher::begin(request_pointer const& request, kernel::monotonic_time now)
@@ -242,6 +249,8 @@
     if (!is_readable_service(*m_table, route.split[part].service))
         return refuse(request, refusal::unreadable_configuration, now);
     request->service = route.split[part].service;
+    if (auto const cause = identify_customer(*request, now))
+        return refuse(request, *cause, now);
     request->give_up_at =
         std::min(request->answer_deadline, request->arrived_at + route.target_latency);
     // It may have stood behind a long answer on its connection.
@@ -599,18 +608,21 @@
     auto response = make_refusal(reported_cause, std::nullopt);
     constexpr unsigned not_run = 503;
     if (response.status == not_run)
-        response =
-            make_refusal(reported_cause,
-                         cause == refusal::unreadable_configuration ? max_retry_after
-                                                                    : retry_after(*request, now));
+        response = make_refusal(reported_cause, retry_after(*request, cause, now));
     m_metrics
         .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(reported_cause)})
         .increment();
     finish(request, std::move(response), to_string(cause), now);
 }
 
-milliseconds dispatcher::retry_after(gateway_request const& request, kernel::monotonic_time now)
+milliseconds
+dispatcher::retry_after(gateway_request const& request, refusal cause, kernel::monotonic_time now)
 {
+    if (cause == refusal::unreadable_configuration)
+        return max_retry_after;
+    // Another host probably has its contact with the store.
+    if (cause == refusal::stale_configuration)
+        return min_retry_after;
     auto const& state = state_of(request.service);
     auto const running = static_cast<double>(std::max<std::size_t>(state.running, 1));
     auto const expected_wait =
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "kernel/metrics.hpp"
 #include "kernel/settings.hpp"
 #include "libraries/interface/interface.hpp"
+#include "plugins/customer/contact.hpp"
 #include "plugins/gateway/crash_watch.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 #include "plugins/gateway/refusal.hpp"
@@ -52,6 +53,8 @@
     std::function<void(fleet::crash_knowledge&&)> publish_crashes;
     /// @returns the wall clock in milliseconds since the Unix epoch.
     std::function<std::uint64_t()> wall_clock_ms;
+    /// @returns the time of the boot clock, by which keys are judged with strict revocation.
+    std::function<kernel::boot_time()> boot_clock;
     /// @returns a number in `[0, 1)`.
     std::function<double()> random;
 };
@@ -101,6 +104,8 @@
                kernel::monotonic_time now);
     void apply(events::store_update<events::evacuation> const& update, kernel::monotonic_time now);
     void apply(events::store_update<fleet::entry_host> const& update, kernel::monotonic_time now);
+    /// Handles that a call, begun at the given time, confirmed the configuration in force.
+    void configuration_confirmed(kernel::boot_time begun_at);
     /// Records whether the store answers reads of backend servers. Servers that are missing after
     /// an outage are kept for a grace time.
     void set_server_store_reachable(bool is_reachable, kernel::monotonic_time now);
@@ -136,6 +141,12 @@
         return m_servers;
     }
 
+    /// @returns the contact with the store that judges keys.
+    [[nodiscard]] customer::contact const& contact() const
+    {
+        return m_contact;
+    }
+
     /// @returns whether requests can be served.
     [[nodiscard]] bool is_ready() const
     {
@@ -154,7 +165,7 @@
 
     /// Starts a new request: sends, queues or refuses it. A request that arrives while the first
     /// configuration and servers are being read waits for them for a short time. The caller of this
-    /// function has set its `number`, `message`, `id`, `affinity_key`, `arrived_at` and
+    /// function has set its `number`, `message`, `key`, `id`, `affinity_key`, `arrived_at` and
     /// `caller_deadline`.
     void begin(request_pointer const& request, kernel::monotonic_time now);
 
@@ -198,6 +209,19 @@
     void release_held(kernel::monotonic_time now);
     /// Finds the route of a request and sends, queues or refuses it.
     void admit(request_pointer const& request, kernel::monotonic_time now);
+    /// Sets the customer of a request whose route and service are known.
+    /// @returns why the request is refused for its key; nothing if it is not.
+    [[nodiscard]] std::optional<refusal> identify_customer(gateway_request& request,
+                                                           kernel::monotonic_time now);
+    /// @returns whether keys cannot be judged yet, because the first confirmation of the
+    /// configuration is still to come.
+    [[nodiscard]] bool awaits_confirmation() const;
+    /// Logs when the configuration becomes too old to judge keys, and when it is confirmed again.
+    void note_trust(bool is_trusted);
+    /// @returns the index of a new configuration, in which customers that cannot be read have their
+    /// last readable version.
+    [[nodiscard]] std::shared_ptr<routing::routing_table const>
+    make_table(routing::routing_document document);
     void remove_waiting(request_pointer const& request);
     /// @returns whether a request that is sent now is expected to end before the process does.
     [[nodiscard]] bool can_end_in_service(gateway_request const& request,
@@ -237,8 +261,8 @@
     /// Moves the request to its final state and records its outcome.
     void end_request(gateway_request& request);
     /// @returns after which time the refused caller is to come back.
-    [[nodiscard]] std::chrono::milliseconds retry_after(gateway_request const& request,
-                                                        kernel::monotonic_time now);
+    [[nodiscard]] std::chrono::milliseconds
+    retry_after(gateway_request const& request, refusal cause, kernel::monotonic_time now);
     /// Sets the server for a slot of which the request waits, null for none, and updates the counts
     /// of waiting requests.
     static void set_awaited_server(gateway_request& request, server_pointer const& server);
@@ -288,6 +312,8 @@
     fleet::crash_knowledge m_published_crashes;
     bool m_has_restored_reports = false;
     std::shared_ptr<routing::routing_table const> m_table;
+    customer::contact m_contact;
+    bool m_trusts_configuration = true;
     server_table m_servers;
     host_table m_hosts;
     routing::text_map<service_state> m_services;
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -83,7 +83,7 @@
                            {"object_version", object.version}});
         if (!is_newer)
             continue;
-        m_table = routing::make_routing_table(*object.record);
+        m_table = make_table(*object.record);
         m_round_robins.clear();
         forget_runs_of_removed_routes();
     }
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -203,6 +203,7 @@
                 std::make_shared<fleet::crash_knowledge const>(std::move(known)));
         };
         actions.wall_clock_ms = kernel::wall_clock_ms;
+        actions.boot_clock = kernel::boot_clock::now;
         actions.random = [this]()
         {
             return std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -328,6 +329,11 @@
             m_dispatcher.set_host_store_reachable(contact.is_reachable, now);
     }
 
+    void handle(events::configuration_confirmed const& confirmed)
+    {
+        m_dispatcher.configuration_confirmed(confirmed.begun_at);
+    }
+
     void handle(events::drain_begun const&)
     {
         begin_drain();
@@ -504,6 +510,11 @@
                           static_cast<double>(m_caller_server.held_bytes()));
         metrics.set_gauge("pistachiohub_gateway_answer_bytes",
                           static_cast<double>(m_answer_memory.held));
+        if (auto const& contact = m_dispatcher.contact(); contact.is_strict && contact.confirmed_at)
+            metrics.set_gauge(
+                "pistachiohub_gateway_configuration_contact_age_seconds",
+                std::chrono::duration<double>(kernel::boot_clock::now() - *contact.confirmed_at)
+                    .count());
         return {http_ok, metrics.text(), "text/plain; version=0.0.4"};
     }
 
--- a/plugins/gateway/message.cpp
+++ b/plugins/gateway/message.cpp
@@ -60,6 +60,18 @@
     return {};
 }
 
+std::vector<std::string_view> find_header_values(std::vector<message_header> const& headers,
+                                                 std::string_view name)
+{
+    std::vector<std::string_view> values;
+    for (auto const& header : headers)
+    {
+        if (is_same_header_name(header.name, name))
+            values.emplace_back(header.value);
+    }
+    return values;
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection_options)
 {
     constexpr std::array<std::string_view, 10> hop_by_hop_names{"Connection",
--- a/plugins/gateway/message.hpp
+++ b/plugins/gateway/message.hpp
@@ -45,6 +45,10 @@
 [[nodiscard]] std::string_view find_header_value(std::vector<message_header> const& headers,
                                                  std::string_view name);
 
+/// @returns the values of all headers called `name`, ignoring case.
+[[nodiscard]] std::vector<std::string_view>
+find_header_values(std::vector<message_header> const& headers, std::string_view name);
+
 /// @returns whether a header applies to a single connection and must not be forwarded.
 /// @param connection_options value of the message's `Connection` header.
 [[nodiscard]] bool is_hop_by_hop(std::string_view name, std::string_view connection_options);
--- a/plugins/gateway/message_text.cpp
+++ b/plugins/gateway/message_text.cpp
@@ -51,7 +51,8 @@
 std::string serialize_request(caller_request const& request,
                               interface::message_headers const& names,
                               std::string_view server_id,
-                              std::chrono::milliseconds remaining)
+                              std::chrono::milliseconds remaining,
+                              forwarded_customer const& customer)
 {
     std::string text = request.method + ' ' + request.target + " HTTP/1.1";
     text.append(line_end);
@@ -61,11 +62,16 @@
         bool const is_replaced = is_same_header_name(header.name, content_length) ||
                                  is_same_header_name(header.name, names.remaining_ms) ||
                                  is_same_header_name(header.name, names.wanted_server);
-        if (!is_replaced && !is_hop_by_hop(header.name, options))
+        bool const is_of_customer =
+            customer.is_set_by_gateway && (is_same_header_name(header.name, names.credentials) ||
+                                           is_same_header_name(header.name, names.customer));
+        if (!is_replaced && !is_of_customer && !is_hop_by_hop(header.name, options))
             append_header(text, header.name, header.value);
     }
     append_header(text, names.remaining_ms, std::to_string(remaining.count()));
     append_header(text, names.wanted_server, server_id);
+    if (customer.is_set_by_gateway && !customer.name.empty())
+        append_header(text, names.customer, customer.name);
     if (needs_content_length(request))
         append_header(text, content_length, std::to_string(request.body.size()));
     text.append(line_end).append(request.body);
--- a/plugins/gateway/message_text.hpp
+++ b/plugins/gateway/message_text.hpp
@@ -14,14 +14,26 @@
 namespace pistachiohub::gateway
 {
 
+/// What a backend server is told of the customer of a request.
+struct forwarded_customer
+{
+    /// Whether the configuration names customers. Otherwise the headers for them are the caller's
+    /// own and are forwarded.
+    bool is_set_by_gateway = false;
+    /// Empty if the request has no customer.
+    std::string_view name;
+};
+
 /// @returns the text of a request to a backend server: method, target, body and end-to-end headers
-/// as the caller sent them, with headers for the remaining time and the target server.
+/// as the caller sent them, with headers for the remaining time, the target server and the
+/// customer. The caller's key is left out where the gateway identifies customers by it.
 /// @param remaining time until the answer is due; it replaces the caller's value.
 /// @param server_id id of the target server; it replaces a value that the caller sent.
 [[nodiscard]] std::string serialize_request(caller_request const& request,
                                             interface::message_headers const& names,
                                             std::string_view server_id,
-                                            std::chrono::milliseconds remaining);
+                                            std::chrono::milliseconds remaining,
+                                            forwarded_customer const& customer);
 
 /// @returns the text of an answer to a caller, with the `Content-Length` of its body.
 /// @param is_head whether the request was a HEAD; the answer then has no body and keeps the
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -40,6 +40,9 @@
     /// Network address of the caller, without the port.
     std::string caller_address;
     caller_request message;
+    /// Key that the caller presented; missing without one, and if it presented several. Never
+    /// logged.
+    std::optional<std::string> key;
     /// Configuration in force when the request arrived; it applies until the request ends.
     std::shared_ptr<routing::routing_table const> table;
     routing::route const* route = nullptr;
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -22,11 +22,16 @@
 
 using tiers = std::array<tier, distance_count>;
 
-// Returns whether the home regions of the route permit the server.
+bool permits(std::vector<std::string> const& homes, std::string const& region)
+{
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
+// Returns whether the home regions of the route and of the customer permit the server.
 bool may_run_at(gateway_request const& request, known_server const& server)
 {
-    auto const& homes = request.route->home_regions;
-    return homes.empty() || std::find(homes.begin(), homes.end(), server.region) != homes.end();
+    return permits(request.route->home_regions, server.region) &&
+           (request.customer == nullptr || permits(request.customer->home_regions, server.region));
 }
 
 bool was_tried(gateway_request const& request, known_server const& server)
--- a/plugins/gateway/server_connection_pool.cpp
+++ b/plugins/gateway/server_connection_pool.cpp
@@ -21,6 +21,14 @@
                                       kernel::duration{});
 }
 
+// Returns what the backend server is told in each send of the request, the first or a retry.
+forwarded_customer customer_of(gateway_request const& request)
+{
+    return {request.table != nullptr && request.table->document.customers.has_value(),
+            request.customer != nullptr ? std::string_view(request.customer->name)
+                                        : std::string_view()};
+}
+
 } // namespace
 
 server_connection_pool::server_connection_pool(kernel::event_loop& loop,
@@ -83,7 +91,8 @@
             return serialize_request(request->message,
                                      m_names,
                                      request->server->record.id,
-                                     std::max(remaining, milliseconds(1)));
+                                     std::max(remaining, milliseconds(1)),
+                                     customer_of(*request));
         },
         make_handlers(request));
 }
--- a/tests/discovery/rhythm_test.cpp
+++ b/tests/discovery/rhythm_test.cpp
@@ -1,3 +1,4 @@
+#include "plugins/customer/contact.hpp"
 #include "plugins/discovery/rhythm.hpp"
 
 #include <catch2/catch.hpp>
@@ -42,4 +43,20 @@
     }
 }
 
+// A host that reads through another one, without any fault, must not refuse keys because its
+// contact looks too old.
+TEST_CASE("feed_rhythm_with_strict_revocation_keeps_the_contact_young", "[discovery][customer]")
+{
+    kernel::gateway_bounds bounds;
+    bounds.has_strict_revocation = true;
+    bounds.configuration_apply = std::chrono::milliseconds(GENERATE(2500, 5000, 10000));
+    bounds.revocation = std::chrono::milliseconds(GENERATE(1000, 3000, 5000));
+    auto const rhythm = discovery::configuration_rhythm(bounds);
+    auto const limit = customer::longest_contact_age(bounds);
+    CHECK(rhythm.longest_age + rhythm.relay_wait + rhythm.relay_timeout <= limit * 9 / 10);
+    bounds.has_strict_revocation = false;
+    CHECK(discovery::configuration_rhythm(bounds).longest_age ==
+          bounds.configuration_apply * 58 / 100);
+}
+
 } // namespace pistachiohub
--- a/tests/gateway/dispatcher_fixture.hpp
+++ b/tests/gateway/dispatcher_fixture.hpp
@@ -42,6 +42,9 @@
     /// Quarantines that were published last.
     std::vector<fleet::quarantined_request> m_quarantines;
     std::uint64_t m_wall_clock_ms = 1'800'000'000'000;
+    kernel::boot_time m_boot_time{std::chrono::hours(2)};
+    /// Bounds of the dispatchers that are made from now on.
+    kernel::gateway_bounds m_bounds = make_bounds();
     /// Recorded outcomes by request id.
     std::multimap<std::string, outcome> m_settled;
     double m_random = 0.5;
@@ -62,6 +65,13 @@
         publish(1);
     }
 
+    static kernel::gateway_bounds make_bounds()
+    {
+        kernel::gateway_bounds bounds;
+        bounds.extra_retries = 60;
+        return bounds;
+    }
+
     /// @returns a dispatcher that has read nothing yet.
     std::unique_ptr<gateway::dispatcher> make_dispatcher()
     {
@@ -72,7 +82,7 @@
         own.gateway->region = "svealand";
         own.gateway->region_of_domain = {
             {"sve-a", "svealand"}, {"sve-b", "svealand"}, {"got-a", "gotaland"}};
-        own.gateway->bounds.extra_retries = 60;
+        own.gateway->bounds = m_bounds;
         gateway::dispatcher_actions actions;
         actions.send = [this](gateway::request_pointer const& request, std::chrono::milliseconds)
         {
@@ -114,6 +124,10 @@
         {
             return m_wall_clock_ms;
         };
+        actions.boot_clock = [this]()
+        {
+            return m_boot_time;
+        };
         actions.random = [this]()
         {
             return m_random;
--- a/tests/gateway/message_text_test.cpp
+++ b/tests/gateway/message_text_test.cpp
@@ -21,13 +21,14 @@
         "/x/y?q=1",
         {{"Host", "a.example"}, {"X-Attempt-Id", "id-1"}, {"X-Deadline-Ms", "3000"}},
         "body"};
+    gateway::forwarded_customer m_customer;
     gateway::answer m_answer{
         200, "OK", {{"X-Attempt-Id", "id-1"}, {"X-Response-Signature", "sig"}}, "bytes"};
 
     [[nodiscard]] std::string request_text() const
     {
         return gateway::serialize_request(
-            m_request, m_names, "i-1", std::chrono::milliseconds(1234));
+            m_request, m_names, "i-1", std::chrono::milliseconds(1234), m_customer);
     }
 
     [[nodiscard]] message_meaning meaning() const
@@ -43,6 +44,40 @@
 
 } // namespace
 
+// The key must reach no backend server, and the name must be the gateway's, whatever a caller
+// sends.
+TEST_CASE_METHOD(message_fixture,
+                 "request_text_replaces_key_and_customer_of_the_caller",
+                 "[gateway][customer]")
+{
+    m_customer = {true, "cuka620"};
+    for (auto const* const name : {"Authorization", "authorization", "aUTHORIZATION"})
+        m_request.headers.push_back({name, "Bearer 2rry"});
+    for (auto const* const name : {"X-Tenant", "x-tenant", "X-TENANT"})
+        m_request.headers.push_back({name, "forged"});
+    // It must not remove the header that the gateway sets.
+    m_request.headers.push_back({"Connection", "X-Tenant"});
+    auto const text = request_text();
+    CHECK_FALSE(contains(text, "2rry"));
+    CHECK_FALSE(contains(text, "forged"));
+    auto const position = text.find("\r\nX-Tenant: cuka620\r\n");
+    REQUIRE(position != std::string::npos);
+    CHECK(text.find("enant", position + 8) == std::string::npos);
+    m_customer.name = {};
+    CHECK_FALSE(contains(request_text(), "enant"));
+    CHECK_FALSE(contains(request_text(), "2rry"));
+}
+
+TEST_CASE_METHOD(message_fixture,
+                 "request_text_without_customers_keeps_the_headers_of_the_caller",
+                 "[gateway][customer]")
+{
+    m_request.headers.push_back({"Authorization", "Bearer 2rry"});
+    m_request.headers.push_back({"X-Tenant", "own"});
+    CHECK(contains(request_text(), "\r\nAuthorization: Bearer 2rry\r\n"));
+    CHECK(contains(request_text(), "\r\nX-Tenant: own\r\n"));
+}
+
 TEST_CASE_METHOD(message_fixture, "request_text_keeps_method_target_and_body", "[gateway]")
 {
     auto const text = request_text();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -31,6 +31,11 @@
         "info": {"service": "s-1", "version": "v1", "zone": "sve-a", "slots": 4}})";
 char const* const server_status = R"({"state": "ready", "sequence": 4, "cold_left_ms": 250})";
 
+char const* const tenants_text = R"("tenants": {
+    "cuka620": {"api_keys": ["2rry", "rbn4"], "priority": 1, "rate_per_s": 923, "burst": 920.5,
+        "home_regions": ["dakar"]},
+    "other": {"api_keys": ["k-3"]}}, "limits")";
+
 object_store::object make_object(std::string value, std::string observed = "")
 {
     return {"i-1", 5, std::move(value), std::move(observed)};
@@ -66,6 +71,11 @@
     return text;
 }
 
+std::string with_tenants()
+{
+    return replace(configuration_text, "\"limits\"", tenants_text);
+}
+
 } // namespace
 
 TEST_CASE("platform_configuration_is_decoded_into_routes", "[platform]")
@@ -98,6 +108,161 @@
     CHECK(decoded.unreadable.empty());
 }
 
+TEST_CASE("platform_upload_is_decoded_as_at_most_once", "[platform]")
+{
+    auto const text = replace(configuration_text, "\"idempotent\"", "\"upload\"");
+    auto const decoded = platform::decode_configuration(make_object(text));
+    CHECK(decoded.routes.at(0).kind == routing::request_kind::at_most_once);
+    CHECK(decoded.unreadable.empty());
+}
+
+TEST_CASE("platform_tenants_are_decoded_into_customers", "[platform][customer]")
+{
+    CHECK_FALSE(platform::decode_configuration(make_object(configuration_text)).customers);
+    auto const decoded = platform::decode_configuration(make_object(with_tenants()));
+    CHECK(decoded.unreadable.empty());
+    REQUIRE(decoded.customers);
+    REQUIRE(decoded.customers->size() == 2);
+    auto const& first = decoded.customers->at(0);
+    CHECK(first.name == "cuka620");
+    CHECK(first.keys == std::vector<std::string>{"2rry", "rbn4"});
+    CHECK(first.priority == 1);
+    CHECK(first.requests_per_second == 923);
+    CHECK(first.burst == 920.5);
+    CHECK(first.home_regions == std::vector<std::string>{"dakar"});
+    CHECK(first.is_readable);
+    auto const& second = decoded.customers->at(1);
+    CHECK(second.priority == 0);
+    CHECK_FALSE(second.requests_per_second);
+    CHECK(second.home_regions.empty());
+    CHECK(second.is_readable);
+}
+
+TEST_CASE("platform_rate_missing_or_0_is_no_limit", "[platform][customer]")
+{
+    auto const rate = GENERATE(std::string("\"rate_per_s\": 0"),
+                               std::string("\"rate_per_s\": 0.0"),
+                               std::string("\"rate_per_s\": null"),
+                               std::string("\"speed\": 923"));
+    auto const decoded = platform::decode_configuration(
+        make_object(replace(with_tenants(), "\"rate_per_s\": 923", rate)));
+    CHECK(decoded.unreadable.empty());
+    CHECK_FALSE(decoded.customers->at(0).requests_per_second);
+    CHECK(decoded.customers->at(0).is_readable);
+}
+
+// Only requests with its own keys are refused, and no fault that is logged quotes a key.
+TEST_CASE("platform_customer_with_unreadable_terms_keeps_its_keys", "[platform][customer]")
+{
+    auto const [good, bad] =
+        GENERATE(table<std::string, std::string>({{"923", "-1"},
+                                                  {"923", "1e300"},
+                                                  {"923", "\"secret\""},
+                                                  {"920.5", "-0.5"},
+                                                  {"920.5", "{}"},
+                                                  {"\"priority\": 1", "\"priority\": -1"},
+                                                  {"\"priority\": 1", "\"priority\": \"secret\""},
+                                                  {"[\"dakar\"]}", "[7, \"secret\"]}"},
+                                                  {"[\"dakar\"]}", "\"secret\"}"},
+                                                  {"\"cuka620\"", "\"a\\r\\nX-Evil: 1\""},
+                                                  {"\"cuka620\"", "\"\""}}));
+    auto const decoded =
+        platform::decode_configuration(make_object(replace(with_tenants(), good, bad)));
+    REQUIRE(decoded.customers->size() == 2);
+    auto const& first = decoded.customers->at(0);
+    CHECK_FALSE(first.is_readable);
+    CHECK(first.has_all_keys);
+    CHECK(first.keys == std::vector<std::string>{"2rry", "rbn4"});
+    CHECK(decoded.customers->at(1).is_readable);
+    REQUIRE(decoded.unreadable.size() == 1);
+    CHECK(decoded.unreadable[0].path.starts_with("tenants."));
+    CHECK(decoded.unreadable[0].fault.find("secret") == std::string::npos);
+}
+
+TEST_CASE("platform_customer_with_unreadable_keys_has_the_others", "[platform][customer]")
+{
+    auto const [keys, count] = GENERATE(table<std::string, std::size_t>({{"\"secret\"", 0},
+                                                                         {"null", 0},
+                                                                         {"{\"secret\": 1}", 0},
+                                                                         {"[7, \"secret\"]", 1},
+                                                                         {"[[\"secret\"]]", 0}}));
+    auto const decoded = platform::decode_configuration(
+        make_object(replace(with_tenants(), "[\"2rry\", \"rbn4\"]", keys)));
+    auto const& first = decoded.customers->at(0);
+    CHECK_FALSE(first.is_readable);
+    CHECK_FALSE(first.has_all_keys);
+    CHECK(first.keys.size() == count);
+    CHECK(decoded.customers->at(1).is_readable);
+    REQUIRE(decoded.unreadable.size() == 1);
+    CHECK(decoded.unreadable[0].fault.find("secret") == std::string::npos);
+}
+
+// Read as missing, it would let everybody in.
+TEST_CASE("platform_tenants_of_another_type_are_unreadable", "[platform][customer]")
+{
+    auto const value =
+        GENERATE(std::string("null"), std::string("[\"secret\"]"), std::string("\"secret\""));
+    auto const text =
+        replace(configuration_text, "\"limits\"", "\"tenants\": " + value + ", \"limits\"");
+    auto const decoded = platform::decode_configuration(make_object(text));
+    REQUIRE(decoded.customers);
+    CHECK(decoded.customers->empty());
+    CHECK(decoded.are_customers_unreadable);
+    REQUIRE(decoded.unreadable.size() == 1);
+    CHECK(decoded.unreadable[0].fault.find("secret") == std::string::npos);
+}
+
+TEST_CASE("platform_exempt_route_is_decoded", "[platform][customer]")
+{
+    auto const [word, is_exempt] = GENERATE(table<std::string, bool>(
+        {{"true", true}, {"false", false}, {"null", false}, {"\"true\"", false}, {"1", false}}));
+    auto const text = replace(
+        configuration_text, "\"sticky\": true", "\"sticky\": true, \"auth_exempt\": " + word);
+    auto const decoded = platform::decode_configuration(make_object(text));
+    CHECK(decoded.routes.at(0).is_key_exempt == is_exempt);
+    CHECK(decoded.routes.at(0).is_readable);
+    CHECK_FALSE(decoded.routes.at(1).is_key_exempt);
+}
+
+// Whatever happens to one value of a customer, no other customer changes, its keys name nobody
+// else, and no fault quotes a key.
+TEST_CASE("platform_mutated_customer_changes_no_other", "[platform][customer]")
+{
+    rc::prop("one mutated value of customer cuka620 changes nothing else",
+             []()
+             {
+                 auto document = boost::json::parse(with_tenants()).get_object();
+                 auto& tenants = document["tenants"].get_object();
+                 bool const is_whole = *rc::gen::arbitrary<bool>();
+                 auto& mutated = is_whole ? tenants : tenants.at("cuka620").get_object();
+                 auto const position =
+                     *rc::gen::inRange<std::size_t>(0, is_whole ? 1 : mutated.size());
+                 auto const key = std::string((mutated.begin() + position)->key());
+                 mutate(mutated, key);
+                 auto const decoded =
+                     platform::decode_configuration(make_object(boost::json::serialize(document)));
+                 RC_ASSERT(decoded.customers.has_value());
+                 RC_ASSERT(!decoded.are_customers_unreadable);
+                 RC_ASSERT(decoded.routes.size() == 2U);
+                 RC_ASSERT(decoded.routes.front().is_readable);
+                 for (auto const& one : *decoded.customers)
+                 {
+                     if (one.name == "other")
+                         RC_ASSERT(one.is_readable && one.keys.size() == 1U);
+                     else
+                         RC_ASSERT(one.name == "cuka620");
+                     RC_ASSERT(one.has_all_keys || !one.is_readable);
+                     for (auto const& key_of_one : one.keys)
+                         RC_ASSERT(!key_of_one.empty());
+                     if (one.requests_per_second)
+                         RC_ASSERT(*one.requests_per_second > 0 && *one.requests_per_second <= 1e9);
+                     RC_ASSERT(one.burst >= 0 && one.burst <= 1e9);
+                 }
+                 for (auto const& part : decoded.unreadable)
+                     RC_ASSERT(part.fault.find("2rry") == std::string::npos);
+             });
+}
+
 // A kind that is not known must never be taken as repeatable, and must not take the other routes
 // down with it.
 TEST_CASE("platform_unknown_kind_is_decoded_as_at_most_once", "[platform]")
