discovery: Decide in a pure module where a feed reads next

Cause: how old the knowledge of a follower can get depends on when a feed asks the relay and when the store, which was decided inside its thread and could not be played for 300 hosts. Change: feed_plan holds what a feed knows of its reads and decides on the next one. Behaviour as before, except that the avoidance of a relay that failed counts on the boot clock. Measured: nothing yet; compiled only.

--- /dev/null
+++ b/plugins/discovery/feed_plan.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+/// @file
+/// Where the next read of a feed goes, and how long it may take.
+
+#include "kernel/clock.hpp"
+#include "plugins/discovery/rhythm.hpp"
+
+#include <chrono>
+
+namespace pistachiohub::discovery
+{
+
+/// What a feed knows of its own reads. A plain value without a clock.
+struct feed_progress
+{
+    /// All changes until this time are known. Meaningless before the first list.
+    kernel::boot_time known_until;
+    /// Another daemon is not asked before this time, because it failed.
+    kernel::boot_time relay_avoided_until;
+    /// Whether all objects were listed, so that changes can be asked for.
+    bool has_list = false;
+    /// Whether changes may have been missed, so that the store must be asked without waiting.
+    bool must_catch_up = false;
+    /// Whether the latest answer came from another daemon, so that the connection to the store has
+    /// been idle since.
+    bool reads_relay = false;
+};
+
+/// From where changes are read.
+enum class read_source
+{
+    store,
+    relay
+};
+
+/// The next read of a feed.
+struct planned_read
+{
+    read_source source = read_source::store;
+    /// How long the watch waits for a change.
+    std::chrono::milliseconds wait{0};
+    /// Whether the store is asked on a new connection, because an idle one may be silent by now.
+    bool reconnects = false;
+};
+
+/// The connection to the daemon that is to be asked.
+enum class relay_connection
+{
+    /// This daemon is to read the store itself.
+    none,
+    /// A daemon is chosen, and must be connected to first.
+    closed,
+    open
+};
+
+/// Decides on the next read.
+[[nodiscard]] planned_read plan_read(feed_progress const& progress,
+                                     feed_rhythm const& rhythm,
+                                     relay_connection relay,
+                                     kernel::boot_time now);
+
+/// Notes an answer of another daemon.
+/// @param confirmed_at all changes until this time are known.
+void note_relay_answer(feed_progress& progress, kernel::boot_time confirmed_at);
+
+/// Notes that another daemon failed, or has nothing to tell.
+void note_relay_failure(feed_progress& progress, kernel::boot_time now);
+
+/// Notes an answer of the store.
+/// @param asked_at begin of the call.
+void note_store_answer(feed_progress& progress, kernel::boot_time asked_at);
+
+} // namespace pistachiohub::discovery
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -24,10 +24,6 @@
 constexpr auto longest_pause = milliseconds(500);
 constexpr auto delivery_retry = milliseconds(10);
 constexpr unsigned most_doublings = 3;
-// Time for which a daemon that failed is not asked again.
-constexpr auto relay_avoidance = milliseconds(1000);
-// A watch that answers at once.
-constexpr auto no_wait = milliseconds(1);
 
 http::client_limits make_limits()
 {
@@ -82,34 +78,42 @@
 void object_feed::poll()
 {
     auto const* const relay = m_relay.get();
-    bool const has_relay = relay != nullptr && !relay->host.empty() && m_position &&
-                           kernel::monotonic_now() >= m_relay_avoided_until;
-    if (!has_relay || !poll_relay(*relay))
-        poll_store();
+    auto const planned =
+        plan_read(m_progress, m_rhythm, connection_to(relay), kernel::boot_clock::now());
+    if (planned.source == read_source::relay)
+        poll_relay(*relay, planned.wait);
+    else
+        poll_store(planned);
+}
+
+relay_connection object_feed::connection_to(fleet::relay_choice const* relay) const
+{
+    if (relay == nullptr || relay->host.empty())
+        return relay_connection::none;
+    bool const is_open = m_relay_client && m_relay_address == relay->address;
+    return is_open ? relay_connection::open : relay_connection::closed;
 }
 
-bool object_feed::poll_relay(fleet::relay_choice const& relay)
+void object_feed::poll_relay(fleet::relay_choice const& relay, milliseconds wait)
 {
     auto const asked_at = kernel::boot_clock::now();
     auto const read = client_of(relay).watch(
         asked_kind(m_kind, {m_context.own_settings().name, m_context.incarnation()}),
         *m_position,
-        m_rhythm.relay_wait);
+        wait);
     count_read("relay", read.end);
     if (read.end == status::ok)
     {
+        auto const confirmed_at = asked_at - read.age.value_or(m_rhythm.longest_age);
+        note_relay_answer(m_progress, confirmed_at);
         m_histories.update(m_kind, false, false, read, asked_at);
-        note_contact(asked_at - read.age.value_or(m_rhythm.longest_age));
+        note_contact(confirmed_at);
         m_context.shared<relay_followers>().note_answer(kernel::boot_clock::now());
-        accept(events::read_kind::changes, read);
-        return true;
+        return accept(events::read_kind::changes, read);
     }
     if (read.end == status::cancelled)
-        return true;
-    m_relay_avoided_until = kernel::monotonic_now() + relay_avoidance;
-    m_must_catch_up = true;
-    // The connection to the store has been idle and may be silent by now.
-    m_client.disconnect();
+        return;
+    note_relay_failure(m_progress, kernel::boot_clock::now());
     kernel::log_event(kernel::log_level::info,
                       "discovery",
                       "relay_left",
@@ -118,7 +122,6 @@
                        {"result", to_string(read.end)},
                        {"revision", m_position->revision},
                        {"generation", m_position->generation}});
-    return false;
 }
 
 object_store::client& object_feed::client_of(fleet::relay_choice const& relay)
@@ -134,19 +137,20 @@
     return *m_relay_client;
 }
 
-void object_feed::poll_store()
+void object_feed::poll_store(planned_read const& planned)
 {
+    if (planned.reconnects)
+        m_client.disconnect();
     auto const asked_at = kernel::boot_clock::now();
     auto const earliest_next = kernel::monotonic_now() + m_rhythm.spacing;
     bool const is_complete = !m_position.has_value();
-    auto const wait = m_must_catch_up ? no_wait : m_rhythm.watch_wait;
     auto const read =
-        is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_position, wait);
+        is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_position, planned.wait);
     count_read("store", read.end);
     m_newest_generation.note(read.generation);
     if (read.end != status::ok)
         return handle_failure(read.end, asked_at);
-    m_must_catch_up = false;
+    note_store_answer(m_progress, asked_at);
     note_contact(asked_at);
     m_histories.update(m_kind, true, is_complete, read, asked_at);
     if (!is_complete)
@@ -199,6 +203,7 @@
                            {"revision", m_position ? m_position->revision : 0},
                            {"generation", m_generation}});
         m_position.reset();
+        m_progress.has_list = false;
         return;
     }
     ++m_failures;
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -12,6 +12,7 @@
 #include "libraries/object_store/object_store.hpp"
 #include "plugins/discovery/contact_record.hpp"
 #include "plugins/discovery/feed_history.hpp"
+#include "plugins/discovery/feed_plan.hpp"
 #include "plugins/discovery/rhythm.hpp"
 #include "plugins/store/newest_generation.hpp"
 #include "plugins/store/wake_signal.hpp"
@@ -46,10 +47,9 @@
 
 private:
     void poll();
-    void poll_store();
-    /// Reads from another daemon.
-    /// @returns false when the store is to be read instead.
-    [[nodiscard]] bool poll_relay(fleet::relay_choice const& relay);
+    void poll_store(planned_read const& planned);
+    void poll_relay(fleet::relay_choice const& relay, std::chrono::milliseconds wait);
+    [[nodiscard]] relay_connection connection_to(fleet::relay_choice const* relay) const;
     [[nodiscard]] object_store::client& client_of(fleet::relay_choice const& relay);
     void accept(events::read_kind kind, object_store::list_result const& read);
     /// Notes the generation of the store that answered.
@@ -78,9 +78,7 @@
     std::mutex m_relay_mutex;
     std::unique_ptr<object_store::client> m_relay_client;
     kernel::endpoint m_relay_address;
-    kernel::monotonic_time m_relay_avoided_until;
-    /// Changes may have been missed, so the next call must not wait.
-    bool m_must_catch_up = false;
+    feed_progress m_progress;
     store::wake_signal m_signal;
     std::mt19937_64 m_random{std::random_device{}()};
     /// Missing until all objects were read.
