gateway: Take the host with the greatest capacity as reader of its group

Cause: the reader of a group was its first host by name, also when that had a link of 10 Mbit/s. At 300 hosts a reader sends 957 KB a second to 15 followers in bursts of about a second's changes, which take some 0.7 s on such a link, and what followers know is older by that. Change: the first host with the greatest capacity (the lesser of processor and link) in the group reads the store. Ruled out: smaller groups, which need more readers and so more calls.

--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -190,8 +190,18 @@
     };
     std::sort(group.begin(), group.end(), comes_before);
     auto const own = std::find(group.begin(), group.end(), &table.own) - group.begin();
-    auto const position = static_cast<std::size_t>(own);
-    auto const& reader = *group[position - position % max_hosts_per_reader];
+    auto const first =
+        group.begin() + (own - own % static_cast<std::ptrdiff_t>(max_hosts_per_reader));
+    auto const last =
+        first + std::min(static_cast<std::ptrdiff_t>(max_hosts_per_reader), group.end() - first);
+    // The first of several with the same capacity.
+    auto const& reader =
+        **std::max_element(first,
+                           last,
+                           [](fleet::entry_host const* left, fleet::entry_host const* right)
+                           {
+                               return left->capacity < right->capacity;
+                           });
     if (&reader == &table.own)
         return {};
     return {reader.name, {reader.callers.address, reader.relay_port}};
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -89,9 +89,10 @@
 inline constexpr std::size_t min_domain_group_size = 4;
 
 /// Chooses the host that relays the store's changes to this daemon. Live hosts are sorted by
-/// failure domain and name and divided into groups; the first host of a group, its reader, reads
-/// the store itself. Daemons may disagree on which hosts are live and choose differently. This is
-/// safe, since a host relays only changes that it read from the store itself.
+/// failure domain and name and divided into groups; the first host of those with the greatest
+/// capacity in a group, its reader, reads the store itself, since it sends each change to all
+/// others. Daemons may disagree on which hosts are live and choose differently. This is safe, since
+/// a host relays only changes that it read from the store itself.
 /// @returns an empty choice if this daemon is the reader of its group.
 [[nodiscard]] fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now);
 
