discovery: Ask the store before a list no longer fits in the bound

Cause: the time between news in the store and its use at a follower had parts that no constant of feed_rhythm counted. A follower that lost its reader asked the store at up to 0.9 of the bound. If the store has forgotten its history by then, the answer is 410 and everything must be listed, which takes 6 pages and about 1 MB for 2,997 servers and one page at 30 hosts. A slow answer of a reader was not counted either: what it says is as old as permitted when it is written, the transfer takes up to the whole timeout, and so does the next question. A feed that became the reader of its group asked the store on a connection that had been idle, and waited for a change. Change: plan_read() asks another daemon only if the store can still be asked, and listed as slowly as the last time, when no answer comes; the wait is shortened to the time that is left. Only calls of the store are spaced. A change from a relay to the store never waits, on a new connection. The age in an answer counts from the arrival of its question, which makes the follower's figure exact when nothing has changed. A former reader loses the connection of a follower that became a reader itself.

--- a/plugins/discovery/feed_plan.cpp
+++ b/plugins/discovery/feed_plan.cpp
@@ -15,6 +15,22 @@
 // A watch that answers at once.
 constexpr auto no_wait = milliseconds(1);
 
+/// @returns how long another daemon may be waited for a change, or a negative time if the store
+/// must be asked now.
+milliseconds spare_time(feed_progress const& progress,
+                        feed_rhythm const& rhythm,
+                        relay_connection relay,
+                        kernel::boot_time now)
+{
+    // The call that finds the history forgotten comes before the list.
+    auto const store_time =
+        std::min(rhythm.store_call + progress.list_time, rhythm.longest_store_time);
+    auto const age = std::chrono::ceil<milliseconds>(now - progress.known_until);
+    // Connecting has a timeout of its own.
+    auto const timeouts = relay == relay_connection::open ? 1 : 2;
+    return rhythm.answer_due - store_time - age - timeouts * rhythm.relay_timeout;
+}
+
 } // namespace
 
 planned_read plan_read(feed_progress const& progress,
@@ -23,10 +39,23 @@
                        kernel::boot_time now)
 {
     if (relay != relay_connection::none && progress.has_list && now >= progress.relay_avoided_until)
-        return {read_source::relay, rhythm.relay_wait, false};
-    return {read_source::store,
-            progress.must_catch_up ? no_wait : rhythm.watch_wait,
-            progress.must_catch_up};
+    {
+        auto const spare = spare_time(progress, rhythm, relay, now);
+        if (spare >= milliseconds(0))
+            return {read_source::relay, std::min(rhythm.relay_wait, spare), false};
+    }
+    bool const must_hurry = progress.must_catch_up || progress.reads_relay;
+    return {read_source::store, must_hurry ? no_wait : rhythm.watch_wait, must_hurry};
+}
+
+kernel::boot_time next_read_at(feed_progress const& progress,
+                               feed_rhythm const& rhythm,
+                               relay_connection relay,
+                               kernel::boot_time asked_at)
+{
+    auto const spaced = asked_at + rhythm.spacing;
+    return relay == relay_connection::none ? spaced
+                                           : std::min(spaced, progress.relay_avoided_until);
 }
 
 void note_relay_answer(feed_progress& progress, kernel::boot_time confirmed_at)
@@ -41,9 +70,14 @@
     progress.must_catch_up = true;
 }
 
-void note_store_answer(feed_progress& progress, kernel::boot_time asked_at)
+void note_store_answer(feed_progress& progress,
+                       bool is_list,
+                       kernel::boot_time asked_at,
+                       kernel::boot_time now)
 {
     progress.known_until = std::max(progress.known_until, asked_at);
+    if (is_list)
+        progress.list_time = std::chrono::ceil<milliseconds>(now - asked_at);
     progress.has_list = true;
     progress.must_catch_up = false;
     progress.reads_relay = false;
--- a/plugins/discovery/feed_plan.hpp
+++ b/plugins/discovery/feed_plan.hpp
@@ -16,6 +16,9 @@
 {
     /// All changes until this time are known. Meaningless before the first list.
     kernel::boot_time known_until;
+    /// How long the latest complete list took. The store may have forgotten its history when it is
+    /// asked for changes, and then everything must be listed within the bound.
+    std::chrono::milliseconds list_time{0};
     /// Another daemon is not asked before this time, because it failed.
     kernel::boot_time relay_avoided_until;
     /// Whether all objects were listed, so that changes can be asked for.
@@ -54,12 +57,22 @@
     open
 };
 
-/// Decides on the next read.
+/// Decides on the next read. Another daemon is asked only if there is time enough to ask the store
+/// when the answer does not come, so that the age of what is known stays within the bound whatever
+/// that daemon does. The connection, the wait and the answer are counted.
 [[nodiscard]] planned_read plan_read(feed_progress const& progress,
                                      feed_rhythm const& rhythm,
                                      relay_connection relay,
                                      kernel::boot_time now);
 
+/// @param asked_at begin of the call of the store that has ended.
+/// @returns when the next read is due. Only calls of the store are spaced: another daemon is asked
+/// as soon as possible, since there is less time left for it as the knowledge ages.
+[[nodiscard]] kernel::boot_time next_read_at(feed_progress const& progress,
+                                             feed_rhythm const& rhythm,
+                                             relay_connection relay,
+                                             kernel::boot_time asked_at);
+
 /// Notes an answer of another daemon.
 /// @param confirmed_at all changes until this time are known.
 void note_relay_answer(feed_progress& progress, kernel::boot_time confirmed_at);
@@ -68,7 +81,11 @@
 void note_relay_failure(feed_progress& progress, kernel::boot_time now);
 
 /// Notes an answer of the store.
+/// @param is_list whether all objects were listed.
 /// @param asked_at begin of the call.
-void note_store_answer(feed_progress& progress, kernel::boot_time asked_at);
+void note_store_answer(feed_progress& progress,
+                       bool is_list,
+                       kernel::boot_time asked_at,
+                       kernel::boot_time now);
 
 } // namespace pistachiohub::discovery
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -78,6 +78,8 @@
 void object_feed::poll()
 {
     auto const* const relay = m_relay.get();
+    if (connection_to(relay) == relay_connection::none && m_relay_client)
+        close_relay_client();
     auto const planned =
         plan_read(m_progress, m_rhythm, connection_to(relay), kernel::boot_clock::now());
     if (planned.source == read_source::relay)
@@ -86,6 +88,13 @@
         poll_store(planned);
 }
 
+// A connection that is no longer used counts against those that the other daemon accepts.
+void object_feed::close_relay_client()
+{
+    std::lock_guard const lock(m_relay_mutex);
+    m_relay_client.reset();
+}
+
 relay_connection object_feed::connection_to(fleet::relay_choice const* relay) const
 {
     if (relay == nullptr || relay->host.empty())
@@ -142,7 +151,6 @@
     if (planned.reconnects)
         m_client.disconnect();
     auto const asked_at = kernel::boot_clock::now();
-    auto const earliest_next = kernel::monotonic_now() + m_rhythm.spacing;
     bool const is_complete = !m_position.has_value();
     auto const read =
         is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_position, planned.wait);
@@ -150,7 +158,7 @@
     m_newest_generation.note(read.generation);
     if (read.end != status::ok)
         return handle_failure(read.end, asked_at);
-    note_store_answer(m_progress, asked_at);
+    note_store_answer(m_progress, is_complete, asked_at, kernel::boot_clock::now());
     note_contact(asked_at);
     m_histories.update(m_kind, true, is_complete, read, asked_at);
     if (!is_complete)
@@ -159,7 +167,8 @@
         accept(note_generation(read.generation) ? events::read_kind::restored_list
                                                 : events::read_kind::list,
                read);
-    m_signal.wait_until(earliest_next);
+    auto const next_at = next_read_at(m_progress, m_rhythm, connection_to(m_relay.get()), asked_at);
+    m_signal.wait_until(kernel::monotonic_now() + (next_at - kernel::boot_clock::now()));
 }
 
 void object_feed::accept(events::read_kind kind, object_store::list_result const& read)
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -49,6 +49,7 @@
     void poll();
     void poll_store(planned_read const& planned);
     void poll_relay(fleet::relay_choice const& relay, std::chrono::milliseconds wait);
+    void close_relay_client();
     [[nodiscard]] relay_connection connection_to(fleet::relay_choice const* relay) const;
     [[nodiscard]] object_store::client& client_of(fleet::relay_choice const& relay);
     void accept(events::read_kind kind, object_store::list_result const& read);
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -34,6 +34,7 @@
 struct waiting_question
 {
     change_query query;
+    kernel::boot_time arrived_at;
     kernel::monotonic_time ends_at;
     http::reply_function reply;
 };
@@ -101,9 +102,10 @@
         if (m_waiting.size() >= most_waiting)
             return reply({http_unavailable, "{\"reason\":\"too_many\"}"});
         auto const now = kernel::monotonic_now();
-        m_followers.note_question(query->asker, kernel::boot_clock::now());
+        auto const arrived_at = kernel::boot_clock::now();
+        m_followers.note_question(query->asker, arrived_at);
         auto const ends_at = now + std::min(query->wait, longest_wait);
-        m_waiting.push_back({std::move(*query), ends_at, reply});
+        m_waiting.push_back({std::move(*query), arrived_at, ends_at, reply});
         if (try_answer(m_waiting.back(), now))
             return m_waiting.pop_back();
         m_loop.after(ends_at - now,
@@ -142,10 +144,10 @@
             question.reply({http_unavailable, "{\"reason\":\"stale\"}"});
             break;
         default:
-            question.reply(
-                {http_ok,
-                 encode_changes(told.changes,
-                                std::chrono::ceil<milliseconds>(asked_at - told.confirmed_at))});
+            question.reply({http_ok,
+                            encode_changes(told.changes,
+                                           std::chrono::ceil<milliseconds>(question.arrived_at -
+                                                                           told.confirmed_at))});
         }
         return true;
     }
--- a/plugins/discovery/relay_dialect.hpp
+++ b/plugins/discovery/relay_dialect.hpp
@@ -32,7 +32,9 @@
 [[nodiscard]] std::optional<change_query> parse_change_query(std::string_view path,
                                                              std::string_view query);
 
-/// @param age time since the call of the store that confirmed the changes began.
+/// @param age time from the begin of the call of the store that confirmed the changes to the
+/// arrival of the question, or 0 if the call began later. The follower counts it from its question,
+/// so that neither the wait nor a slow answer makes what it knows look older or newer than it is.
 /// @returns the body of the answer to a watch.
 [[nodiscard]] std::string encode_changes(object_store::list_result const& changes,
                                          std::chrono::milliseconds age);
--- a/plugins/discovery/rhythm.cpp
+++ b/plugins/discovery/rhythm.cpp
@@ -17,6 +17,12 @@
 constexpr double part_for_age = 0.58;
 constexpr double part_for_relay_wait = 0.2;
 constexpr double part_for_relay_timeout = 0.12;
+constexpr double part_for_answer = 0.95;
+// A new connection to another region takes two trips and a batch some more; calls may be slower
+// than those of the latest list.
+constexpr double part_for_store_call = 0.15;
+// The rest holds the timeout of a relay and the age of what a reader of batches tells.
+constexpr double part_for_long_store_time = 0.5;
 
 milliseconds part_of(milliseconds bound, double part)
 {
@@ -30,7 +36,10 @@
             spacing,
             part_of(bound, part_for_age),
             part_of(bound, part_for_relay_wait),
-            part_of(bound, part_for_relay_timeout)};
+            part_of(bound, part_for_relay_timeout),
+            part_of(bound, part_for_answer),
+            part_of(bound, part_for_store_call),
+            part_of(bound, part_for_long_store_time)};
 }
 
 feed_rhythm rare_rhythm(milliseconds bound)
--- a/plugins/discovery/rhythm.hpp
+++ b/plugins/discovery/rhythm.hpp
@@ -12,8 +12,8 @@
 
 /// How often one kind is read. A change is in force within its bound also when the store forgets
 /// its history while a watch waits (the next call finds the change then), and when another daemon
-/// from which this one reads is lost at any moment: `longest_age`, `relay_wait` and `relay_timeout`
-/// together leave a tenth of the bound for the call to the store that follows.
+/// from which this one reads is lost at any moment: plan_read() asks the store early enough that
+/// its answer is there at the age `answer_due`.
 struct feed_rhythm
 {
     /// How long a watch of the store waits for a change.
@@ -27,6 +27,13 @@
     std::chrono::milliseconds relay_wait;
     /// Time after which the answer of another daemon is late.
     std::chrono::milliseconds relay_timeout;
+    /// Age of what is known at which an answer of the store must be there.
+    std::chrono::milliseconds answer_due;
+    /// Time that is left to one call of the store on a new connection.
+    std::chrono::milliseconds store_call;
+    /// Longest time that is left to the store for such a call and a list. With more time, all
+    /// daemons would read the store themselves.
+    std::chrono::milliseconds longest_store_time;
 };
 
 /// Configurations and evacuations are rare; a waiting watch brings them at once.
