tests: Check memory, descriptors and service beside hostile connections

Cause: callers that are not controlled ended a process by trailers without end. No test started the daemon under such input, and no listener but the callers' had a bound over all connections.

Change: tests/hostile starts the project's own daemon with memory_mb 64 and 512 descriptors, and plays one kind of input against one listener as one test of ctest (82 tests, RUN_SERIAL, one lock, only without sanitizers). Checked are that the process lives, VmHWM <= memory_mb, descriptors <= those of the settings, and that one ordinary request to the listener and one to the callers' port are answered beside the crowd. Crowd: 24 connections with at most 2 MiB each, or 512 idle ones or unfinished heads that are opened again.

--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -21,6 +21,22 @@
   add_test(NAME log_reader_that_ends_leaves_the_daemon_running
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/log_reader_test.py ${CMAKE_BINARY_DIR})
   set_tests_properties(log_reader_that_ends_leaves_the_daemon_running PROPERTIES TIMEOUT 60)
+  # Crowds of hostile connections against one daemon; its memory is meaningful only without sanitizers.
+  function(add_hostile_tests listener)
+    foreach(kind ${ARGN})
+      add_test(NAME hostile_${listener}_${kind}
+        COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/hostile/hostile_test.py ${CMAKE_BINARY_DIR}
+          ${listener} ${kind})
+      set_tests_properties(hostile_${listener}_${kind} PROPERTIES
+        RUN_SERIAL TRUE RESOURCE_LOCK hostile LABELS hostile TIMEOUT 600)
+    endforeach()
+  endfunction()
+  foreach(listener callers directory readiness metrics relay front admin)
+    add_hostile_tests(${listener} endless_trailers large_trailer trailers_without_end endless_heads
+      endless_extensions chunks_of_one_byte slow_bodies pipelined_requests pipelined_heads
+      idle_connections partial_heads)
+  endforeach()
+  add_hostile_tests(peer endless_heads peer_messages peer_documents peer_handshakes idle_connections)
   add_test(NAME operations_page
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/operations_page_test.py ${CMAKE_BINARY_DIR})
   set_tests_properties(operations_page PROPERTIES TIMEOUT 120 RUN_SERIAL TRUE)
