http: Bound what hostile callers may hold, over all connections of a listener

Cause: Beast bounds neither trailers nor chunk extensions, stores a field of 4 bytes in about 100, and throws for a field above 65,535 bytes, which ended the process. The accounts counted bytes that arrived, not memory; admin, directory, readiness, metrics and relay had no account. Idle connections kept all others out.

Change: http::bounded_parser bounds the whole head, trailers and chunk extensions, counts the memory of fields and drops trailers. http::memory_budget is one account for all connections of a listener, http::connection_choice (pure) decides who gives way. plugins/memory/host_shares divides memory and descriptors. Requests are accounted with the memory of their headers. The peer port takes 16 connections of one address and messages up to 1.25 of the largest.

--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -1,6 +1,8 @@
 #include "libraries/http/server.hpp"
 
-#include "kernel/log.hpp"
+#include "libraries/http/bounded_parser.hpp"
+#include "libraries/http/connection_choice.hpp"
+#include "libraries/http/memory_budget.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +13,8 @@
 #include <array>
 #include <chrono>
 #include <optional>
+#include <unordered_set>
+#include <vector>
 
 namespace pistachiohub::http
 {
@@ -29,14 +33,18 @@
 // Time for the sender of a refused request to finish sending.
 constexpr auto linger_timeout = std::chrono::seconds(2);
 constexpr auto accept_retry = std::chrono::milliseconds(100);
-constexpr std::size_t most_connections = 128;
+constexpr std::size_t read_chunk_bytes = 4096;
+
+class session;
 
 struct shared_state
 {
     request_handler handle;
     kernel::metrics& counters;
     std::string refusal_counter;
-    std::size_t connections = 0;
+    server_limits limits;
+    memory_budget memory;
+    std::unordered_set<session*> sessions;
 };
 
 class session : public std::enable_shared_from_this<session>
@@ -45,8 +53,11 @@
     session(tcp::socket socket, std::shared_ptr<shared_state> state)
         : m_stream(std::move(socket))
         , m_state(std::move(state))
+        , m_received(m_state->memory)
+        , m_unsent(m_state->memory)
+        , m_since(kernel::monotonic_now())
     {
-        ++m_state->connections;
+        m_state->sessions.insert(this);
     }
 
     session(session const&) = delete;
@@ -54,33 +65,101 @@
 
     ~session()
     {
-        --m_state->connections;
+        m_state->sessions.erase(this);
     }
 
-    void read()
+    void begin_request()
     {
-        m_parser.emplace();
-        m_parser->header_limit(largest_header_bytes);
-        m_parser->body_limit(largest_body_bytes);
+        m_use = connection_use::idle;
+        m_since = kernel::monotonic_now();
+        m_parser.emplace(parser_limits{largest_header_bytes, largest_body_bytes});
         m_stream.expires_after(idle_timeout);
-        beast::http::async_read(
-            m_stream,
-            m_buffer,
-            *m_parser,
-            [self = shared_from_this()](boost::system::error_code failure, std::size_t)
+        parse();
+    }
+
+    [[nodiscard]] connection_state state() const
+    {
+        return {m_use, m_since, m_received.bytes(), m_unsent.bytes()};
+    }
+
+    [[nodiscard]] bool is_open() const
+    {
+        return m_stream.socket().is_open();
+    }
+
+    /// Refuses the request that is being read.
+    void refuse_for_memory()
+    {
+        refuse_with(503, "no_memory");
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+private:
+    void read()
+    {
+        m_is_reading = true;
+        m_stream.async_read_some(
+            m_buffer.prepare(read_chunk_bytes),
+            [self = shared_from_this()](boost::system::error_code failure, std::size_t bytes)
             {
-                self->on_read(failure);
+                self->m_is_reading = false;
+                self->on_read(failure, bytes);
             });
     }
 
-private:
-    void on_read(boost::system::error_code failure)
+    void on_read(boost::system::error_code failure, std::size_t bytes)
     {
-        if (failure)
-        {
-            refuse(failure);
+        // The request was refused while it was read.
+        if (m_use == connection_use::ending)
+            return discard();
+        if (failure || !is_receiving())
             return;
+        m_buffer.commit(bytes);
+        parse();
+    }
+
+    [[nodiscard]] bool is_receiving() const
+    {
+        return m_use == connection_use::idle || m_use == connection_use::receiving_head ||
+               m_use == connection_use::receiving_body;
+    }
+
+    void parse()
+    {
+        boost::system::error_code failure;
+        while (m_buffer.size() > 0 && !m_parser->is_done() && !failure)
+            m_buffer.consume(m_parser->put_bounded(m_buffer.data(), failure));
+        if (failure && failure != beast::http::error::need_more)
+            return refuse(failure);
+        m_received.set(m_buffer.capacity() + m_parser->memory());
+        if (m_use == connection_use::idle && (m_parser->got_some() || m_buffer.size() > 0))
+        {
+            m_use = connection_use::receiving_head;
+            m_since = kernel::monotonic_now();
         }
+        if (m_parser->is_header_done() && m_use == connection_use::receiving_head)
+            m_use = connection_use::receiving_body;
+        if (is_exhausted(m_state->memory))
+            relieve();
+        if (!is_receiving())
+            return;
+        if (m_parser->is_done())
+            handle();
+        else
+            read();
+    }
+
+    // Frees memory at the expense of whoever holds most of it.
+    void relieve();
+
+    void handle()
+    {
+        m_use = connection_use::running;
         auto message = m_parser->release();
         m_is_kept = message.keep_alive();
         std::string const target(message.target());
@@ -103,10 +182,6 @@
     void refuse(boost::system::error_code failure)
     {
         using beast::http::error;
-        if (failure == error::end_of_stream || failure == error::partial_message ||
-            failure.category() != beast::http::make_error_code(error::bad_target).category())
-            return;
-        m_is_kept = false;
         if (failure == error::body_limit)
             refuse_with(413, "body_too_large");
         else if (failure == error::header_limit)
@@ -117,12 +192,18 @@
 
     void refuse_with(unsigned status, std::string_view reason)
     {
+        m_is_kept = false;
+        m_parser.reset();
         m_state->counters.find_counter(m_state->refusal_counter, {"reason", reason}).increment();
         write({status, "{\"reason\":\"" + std::string(reason) + "\"}"});
     }
 
     void write(server_reply answer)
     {
+        m_use = connection_use::sending;
+        m_since = kernel::monotonic_now();
+        m_received.set(m_buffer.capacity());
+        m_unsent.set(answer.body.capacity());
         m_response = {};
         m_response.version(11);
         m_response.result(answer.status);
@@ -142,15 +223,22 @@
 
     void on_write(boost::system::error_code failure)
     {
+        m_response = {};
+        m_unsent.set(0);
         if (!failure && m_is_kept)
         {
-            read();
+            begin_request();
             return;
         }
+        m_use = connection_use::ending;
         boost::system::error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_stream.expires_after(linger_timeout);
-        discard();
+        // A read whose request was refused goes on with its own time limit.
+        if (m_is_reading)
+            m_stream.cancel();
+        else
+            discard();
     }
 
     // Closing with unread bytes resets the connection, and the sender of an oversize body would
@@ -169,12 +257,52 @@
     beast::tcp_stream m_stream;
     std::shared_ptr<shared_state> m_state;
     beast::flat_buffer m_buffer;
-    std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+    std::optional<bounded_parser> m_parser;
     beast::http::response<beast::http::string_body> m_response;
     std::array<char, 4096> m_discarded{};
+    memory_claim m_received;
+    memory_claim m_unsent;
+    connection_use m_use = connection_use::idle;
+    kernel::monotonic_time m_since;
+    bool m_is_reading = false;
     bool m_is_kept = false;
 };
 
+/// All connections, and what they do, in the same order.
+struct session_list
+{
+    std::vector<std::shared_ptr<session>> sessions;
+    std::vector<connection_state> states;
+};
+
+session_list list_sessions(shared_state const& state)
+{
+    session_list result;
+    for (auto* const one : state.sessions)
+    {
+        // A session whose last operation is being destroyed has no owner any more.
+        auto open = one->weak_from_this().lock();
+        if (open && open->is_open())
+        {
+            result.states.push_back(open->state());
+            result.sessions.push_back(std::move(open));
+        }
+    }
+    return result;
+}
+
+void session::relieve()
+{
+    auto const now = kernel::monotonic_now();
+    auto const all = list_sessions(*m_state);
+    if (auto const slow = choose_slow_reader(all.states, now))
+        all.sessions[*slow]->close();
+    else if (auto const largest = choose_request_to_refuse(all.states, now))
+        all.sessions[*largest]->refuse_for_memory();
+    else
+        refuse_for_memory();
+}
+
 } // namespace
 
 struct server::implementation
@@ -203,8 +331,33 @@
         }
     }
 
+    void accept_later()
+    {
+        loop.after(accept_retry,
+                   [this]()
+                   {
+                       accept();
+                   });
+    }
+
+    /// Closes the connection that can best be spared.
+    /// @returns whether there was one.
+    bool close_one()
+    {
+        auto const all = list_sessions(*state);
+        auto const spare = choose_connection_to_close(all.states, kernel::monotonic_now());
+        auto const reason = spare ? "connection_closed" : "connections";
+        state->counters.find_counter(state->refusal_counter, {"reason", reason}).increment();
+        if (spare)
+            all.sessions[*spare]->close();
+        return spare.has_value();
+    }
+
     void accept()
     {
+        // Callers wait in the backlog until a connection can be spared.
+        if (state->sessions.size() >= state->limits.connections && !close_one())
+            return accept_later();
         acceptor.async_accept(
             [this](boost::system::error_code failure, tcp::socket socket)
             {
@@ -213,18 +366,10 @@
                 if (failure)
                 {
                     // For example, no file descriptor is free; trying at once would spin.
-                    loop.after(accept_retry,
-                               [this]()
-                               {
-                                   accept();
-                               });
-                    return;
+                    close_one();
+                    return accept_later();
                 }
-                if (state->connections < most_connections)
-                    std::make_shared<session>(std::move(socket), state)->read();
-                else
-                    state->counters.find_counter(state->refusal_counter, {"reason", "connections"})
-                        .increment();
+                std::make_shared<session>(std::move(socket), state)->begin_request();
                 accept();
             });
     }
@@ -238,11 +383,16 @@
                kernel::metrics& counters,
                std::string refusal_counter,
                kernel::endpoint const& own,
-               request_handler handle)
+               request_handler handle,
+               server_limits const& limits)
     : m_implementation(std::make_unique<implementation>(
           loop,
-          std::make_shared<shared_state>(
-              shared_state{std::move(handle), counters, std::move(refusal_counter)})))
+          std::make_shared<shared_state>(shared_state{std::move(handle),
+                                                      counters,
+                                                      std::move(refusal_counter),
+                                                      limits,
+                                                      {limits.held_bytes},
+                                                      {}})))
 {
     m_implementation->listen(own.address, own.port);
     m_implementation->accept();
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -9,6 +9,7 @@
 #include "kernel/event_loop.hpp"
 #include "kernel/metrics.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -50,6 +51,16 @@
 /// Handles a request on the loop's thread; may answer later.
 using request_handler = std::function<void(server_request const&, reply_function const&)>;
 
+/// Limits on what all connections of a server together may use.
+struct server_limits
+{
+    /// Open connections. When there are more, one that does nothing is closed.
+    std::size_t connections = 128;
+    /// Bytes of requests that are being read and of answers that are not taken yet. Further
+    /// requests are refused before they run.
+    std::size_t held_bytes = std::size_t{16} << 20;
+};
+
 /// Accepts connections and reads requests of bounded size.
 class server
 {
@@ -60,7 +71,8 @@
            kernel::metrics& counters,
            std::string refusal_counter,
            kernel::endpoint const& own,
-           request_handler handle);
+           request_handler handle,
+           server_limits const& limits = {});
     ~server();
     server(server const&) = delete;
     server& operator=(server const&) = delete;
--- a/plugins/discovery/relay.cpp
+++ b/plugins/discovery/relay.cpp
@@ -9,6 +9,7 @@
 #include "plugins/discovery/relay_dialect.hpp"
 #include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/rhythm.hpp"
+#include "plugins/memory/host_shares.hpp"
 
 #include <algorithm>
 #include <list>
@@ -69,7 +70,8 @@
                 [this](http::server_request const& wanted, http::reply_function const& reply)
                 {
                     handle(wanted, reply);
-                });
+                },
+                memory::service_limits(context.own_settings().gateway->resources));
     }
 
     void run() override
--- a/plugins/front/caller_server.cpp
+++ b/plugins/front/caller_server.cpp
@@ -1,5 +1,8 @@
 #include "plugins/front/caller_server.hpp"
 
+#include "libraries/http/bounded_parser.hpp"
+#include "libraries/http/connection_choice.hpp"
+#include "libraries/http/memory_budget.hpp"
 #include "plugins/front/http_failure.hpp"
 #include "plugins/front/listen_error.hpp"
 #include "plugins/front/refusal_counter.hpp"
@@ -13,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace pistachiohub::front
@@ -24,12 +28,11 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
+namespace bounds = pistachiohub::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t first_read_size = 4096;
-// A body and the header block of a pipelined request that follows it.
-constexpr std::size_t largest_buffer = largest_body + 2 * std::size_t{largest_header_block};
+constexpr std::size_t read_size = 4096;
 // Time and bytes for which a refused caller's unread input is discarded. Closing a socket with
 // unread input resets the connection, which can destroy the refusal before the caller reads it.
 constexpr auto linger_time = std::chrono::milliseconds(1000);
@@ -68,6 +71,13 @@
 
 class session;
 
+/// The open connections and what they do, in the same order.
+struct session_list
+{
+    std::vector<std::shared_ptr<session>> sessions;
+    std::vector<bounds::connection_state> states;
+};
+
 } // namespace
 
 struct caller_server::implementation : std::enable_shared_from_this<implementation>
@@ -78,6 +88,7 @@
                    request_handler handler)
         : counters(&metrics)
         , limits(server_limits)
+        , memory{server_limits.held_bytes}
         , handle(std::move(handler))
         , acceptor(loop.context())
         , accept_timer(loop.context())
@@ -87,16 +98,21 @@
     void listen(std::string const& address, std::uint16_t port);
     void accept();
     void start_session(tcp::socket&& socket);
+    /// Closes the connection that can best be spared.
+    /// @returns whether there was one.
+    bool close_one();
+    [[nodiscard]] session_list list_sessions() const;
     void count_closed(std::string_view cause) const;
 
     kernel::metrics* counters;
     caller_server_limits limits;
+    bounds::memory_budget memory;
     request_handler handle;
     tcp::acceptor acceptor;
     asio::steady_timer accept_timer;
     std::unordered_map<std::uint64_t, std::weak_ptr<session>> waiting;
     std::uint64_t last_exchange = 0;
-    std::size_t connections = 0;
+    std::unordered_set<session*> sessions;
     std::size_t writes = 0;
 };
 
@@ -112,14 +128,16 @@
     session(std::shared_ptr<server> owner, tcp::socket&& socket)
         : m_server(std::move(owner))
         , m_stream(std::move(socket))
-        , m_buffer(largest_buffer)
+        , m_received(m_server->memory)
+        , m_unsent(m_server->memory)
+        , m_since(kernel::monotonic_now())
     {
-        ++m_server->connections;
+        m_server->sessions.insert(this);
     }
 
     ~session()
     {
-        --m_server->connections;
+        m_server->sessions.erase(this);
     }
 
     session(session const&) = delete;
@@ -127,17 +145,34 @@
 
     void read_next()
     {
-        if (m_buffer.size() > 0)
-            return read_request();
+        m_use = connection_use::idle;
+        m_since = kernel::monotonic_now();
+        m_parser.emplace(bounds::parser_limits{largest_header_block, largest_body});
         m_stream.expires_after(m_server->limits.idle);
-        m_stream.async_read_some(m_buffer.prepare(first_read_size),
-                                 [self = shared_from_this()](error_code failure, std::size_t bytes)
-                                 {
-                                     if (failure)
-                                         return self->close_after(failure, "idle");
-                                     self->m_buffer.commit(bytes);
-                                     self->read_request();
-                                 });
+        parse();
+    }
+
+    [[nodiscard]] bool is_open() const
+    {
+        return m_stream.socket().is_open();
+    }
+
+    [[nodiscard]] bounds::connection_state state() const
+    {
+        return {m_use, m_since, m_received.bytes(), m_unsent.bytes()};
+    }
+
+    /// Closes the connection so that another can be accepted.
+    void give_way()
+    {
+        m_server->count_closed("too_many_connections");
+        close();
+    }
+
+    /// Refuses the request that is being read, or was just read, for want of memory.
+    void refuse_for_memory()
+    {
+        refuse({reason::daemon_overloaded, "the memory for requests is used up", std::nullopt});
     }
 
     void reply(caller_answer const& answer)
@@ -150,38 +185,98 @@
     }
 
 private:
-    void read_request()
+    using connection_use = bounds::connection_use;
+
+    void read()
+    {
+        m_is_reading = true;
+        m_stream.async_read_some(m_buffer.prepare(read_size),
+                                 [self = shared_from_this()](error_code failure, std::size_t bytes)
+                                 {
+                                     self->m_is_reading = false;
+                                     self->on_read(failure, bytes);
+                                 });
+    }
+
+    void on_read(error_code failure, std::size_t bytes)
+    {
+        // The request was refused while it was read.
+        if (m_use == connection_use::ending)
+            return discard(0);
+        if (!is_receiving())
+            return;
+        if (failure)
+            return close_after(failure, m_use == connection_use::idle ? "idle" : "slow_request");
+        m_buffer.commit(bytes);
+        parse();
+    }
+
+    [[nodiscard]] bool is_receiving() const
+    {
+        return m_use == connection_use::idle || m_use == connection_use::receiving_head ||
+               m_use == connection_use::receiving_body;
+    }
+
+    void parse()
+    {
+        if (m_use == connection_use::idle && m_buffer.size() > 0)
+        {
+            m_use = connection_use::receiving_head;
+            m_since = kernel::monotonic_now();
+            m_stream.expires_after(m_server->limits.read);
+        }
+        error_code failure;
+        while (m_buffer.size() > 0 && !m_parser->is_done() && !failure)
+            m_buffer.consume(m_parser->put_bounded(m_buffer.data(), failure));
+        if (failure && failure != http::error::need_more)
+            return refuse_input(failure);
+        m_received.set(m_buffer.capacity() + m_parser->memory());
+        if (m_parser->is_header_done())
+            m_use = connection_use::receiving_body;
+        if (is_exhausted(m_server->memory))
+            relieve();
+        if (!is_receiving())
+            return;
+        if (m_parser->is_done())
+            handle_request();
+        else
+            read();
+    }
+
+    void refuse_input(error_code failure)
     {
-        m_parser.emplace();
-        m_parser->header_limit(largest_header_block);
-        m_parser->body_limit(largest_body);
-        m_stream.expires_after(m_server->limits.read);
-        http::async_read(m_stream,
-                         m_buffer,
-                         *m_parser,
-                         [self = shared_from_this()](error_code failure, std::size_t)
-                         {
-                             if (failure)
-                                 self->refuse(failure);
-                             else
-                                 self->handle_request();
-                         });
+        if (auto const refused = refusal_of(failure))
+            refuse(*refused);
+        else
+            close_after(failure, "slow_request");
     }
 
-    void refuse(error_code failure)
+    // Frees memory at the expense of whoever holds most of it.
+    void relieve()
     {
-        auto const refused = refusal_of(failure);
-        if (!refused)
-            return close_after(failure, "slow_request");
-        count_refusal(*m_server->counters, refused->cause);
+        auto const now = kernel::monotonic_now();
+        auto const all = m_server->list_sessions();
+        if (auto const slow = bounds::choose_slow_reader(all.states, now))
+            all.sessions[*slow]->close();
+        else if (auto const largest = bounds::choose_request_to_refuse(all.states, now))
+            all.sessions[*largest]->refuse_for_memory();
+        else
+            refuse_for_memory();
+    }
+
+    void refuse(refusal const& refused)
+    {
+        count_refusal(*m_server->counters, refused.cause);
         m_is_keep_alive = false;
-        write(make_refusal(*refused));
+        m_parser.reset();
+        write(make_refusal(refused));
     }
 
     void handle_request()
     {
         // Every answer has a body, which a caller of HEAD would take for the next answer.
         m_is_keep_alive = m_parser->keep_alive() && m_parser->get().method() != http::verb::head;
+        m_use = connection_use::running;
         auto request = m_parser->release();
         auto const exchange = ++m_server->last_exchange;
         auto answer = m_server->handle(exchange, make_head(request), std::move(request.body()));
@@ -214,6 +309,10 @@
     void write(caller_answer const& answer)
     {
         m_response = make_response_text(answer, m_is_keep_alive);
+        m_use = connection_use::sending;
+        m_since = kernel::monotonic_now();
+        m_received.set(m_buffer.capacity());
+        m_unsent.set(m_response.capacity());
         m_stream.expires_after(m_server->limits.write);
         ++m_server->writes;
         asio::async_write(m_stream,
@@ -221,7 +320,8 @@
                           [self = shared_from_this()](error_code failure, std::size_t)
                           {
                               --self->m_server->writes;
-                              self->m_response.clear();
+                              self->m_response = {};
+                              self->m_unsent.set(0);
                               if (failure)
                                   self->close_after(failure, "slow_reader");
                               else if (self->m_is_keep_alive)
@@ -234,8 +334,12 @@
     void linger()
     {
         error_code ignored;
+        m_use = connection_use::ending;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_stream.expires_after(linger_time);
+        // A read whose request was refused goes on with its own time limit.
+        if (m_is_reading)
+            return m_stream.cancel();
         m_buffer.clear();
         discard(0);
     }
@@ -243,7 +347,7 @@
     void discard(std::size_t discarded)
     {
         m_stream.async_read_some(
-            m_buffer.prepare(first_read_size),
+            m_buffer.prepare(read_size),
             [self = shared_from_this(), discarded](error_code failure, std::size_t bytes)
             {
                 if (!failure && discarded + bytes < largest_discarded_input)
@@ -269,7 +373,12 @@
     std::shared_ptr<server> m_server;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<bounds::bounded_parser> m_parser;
+    bounds::memory_claim m_received;
+    bounds::memory_claim m_unsent;
+    connection_use m_use = connection_use::idle;
+    kernel::monotonic_time m_since;
+    bool m_is_reading = false;
     std::string m_response;
     std::uint64_t m_exchange = 0;
     bool m_is_keep_alive = false;
@@ -319,6 +428,7 @@
                 return self->accept();
             }
             self->count_closed("accept_failed");
+            self->close_one();
             self->accept_timer.expires_after(accept_pause);
             self->accept_timer.async_wait(
                 [self](error_code stopped)
@@ -331,7 +441,7 @@
 
 void caller_server::implementation::start_session(tcp::socket&& socket)
 {
-    if (connections >= limits.most_connections)
+    if (sessions.size() >= limits.most_connections && !close_one())
     {
         count_refusal(*counters, reason::daemon_overloaded);
         count_closed("too_many_connections");
@@ -343,6 +453,31 @@
     std::make_shared<session>(shared_from_this(), std::move(socket))->read_next();
 }
 
+bool caller_server::implementation::close_one()
+{
+    auto const all = list_sessions();
+    auto const spare = bounds::choose_connection_to_close(all.states, kernel::monotonic_now());
+    if (spare)
+        all.sessions[*spare]->give_way();
+    return spare.has_value();
+}
+
+session_list caller_server::implementation::list_sessions() const
+{
+    session_list result;
+    for (auto* const one : sessions)
+    {
+        // A session whose last operation is being destroyed has no owner any more.
+        auto open = one->weak_from_this().lock();
+        if (open && open->is_open())
+        {
+            result.states.push_back(open->state());
+            result.sessions.push_back(std::move(open));
+        }
+    }
+    return result;
+}
+
 void caller_server::implementation::count_closed(std::string_view cause) const
 {
     counters->find_counter("pistachiohub_front_connections_closed_total", {"reason", cause})
--- a/plugins/front/caller_server.hpp
+++ b/plugins/front/caller_server.hpp
@@ -33,9 +33,11 @@
     std::chrono::milliseconds read{10000};
     /// Time for a caller to take an answer.
     std::chrono::milliseconds write{10000};
-    /// A connection holds at most a buffer of 80 KiB and a body of 64 KiB, so 1024 stay under
-    /// 160 MB.
+    /// When there are more, one that does nothing is closed, or the new one is refused.
     std::size_t most_connections = 1024;
+    /// Bytes of requests that are being read and of answers that are not taken yet, over all
+    /// connections: as much as all connections need for the largest body.
+    std::size_t held_bytes = std::size_t{64} << 20;
 };
 
 /// Serves callers on the thread of an event loop. Every call must be made on that thread.
--- a/plugins/front/front_duty.cpp
+++ b/plugins/front/front_duty.cpp
@@ -2,6 +2,9 @@
 
 #include "plugins/front/refusal_counter.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace pistachiohub::front
@@ -21,13 +24,26 @@
 
 std::unique_ptr<kernel::duty> create(kernel::daemon_context& context)
 {
-    return std::make_unique<front_duty>(context);
+    caller_server_limits limits;
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0)
+        limits.most_connections =
+            std::min(limits.most_connections, connections_within(descriptors.rlim_cur));
+    return std::make_unique<front_duty>(context, limits);
 }
 
 kernel::registration const front_registration({"front", front_start_order, create});
 
 } // namespace
 
+std::size_t connections_within(std::size_t descriptors)
+{
+    // For peers, the store, backend servers, operators and files.
+    constexpr std::size_t reserved = 128;
+    constexpr std::size_t min_connections = 16;
+    return std::max(min_connections, (descriptors - std::min(descriptors, reserved)) / 2);
+}
+
 front_duty::front_duty(kernel::daemon_context& context, caller_server_limits const& limits)
     : m_context(context)
     , m_forward(context.shared<kernel::mailbox<events::forward_event>>())
--- a/plugins/front/front_duty.hpp
+++ b/plugins/front/front_duty.hpp
@@ -11,12 +11,17 @@
 #include "libraries/events/front_reply.hpp"
 #include "plugins/front/caller_server.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <unordered_map>
 
 namespace pistachiohub::front
 {
 
+/// @returns the number of callers' connections that a process with so many descriptors may hold:
+/// the rest is needed to serve them.
+[[nodiscard]] std::size_t connections_within(std::size_t descriptors);
+
 /// Runs the caller port.
 class front_duty final : public kernel::duty
 {
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -1,9 +1,13 @@
 #include "plugins/gateway/caller_server.hpp"
 
 #include "kernel/log.hpp"
+#include "libraries/http/bounded_parser.hpp"
+#include "libraries/http/connection_choice.hpp"
 #include "libraries/http/server.hpp"
 #include "libraries/http/silence_limit.hpp"
 #include "plugins/gateway/affinity.hpp"
+#include "plugins/gateway/caller_exchange.hpp"
+#include "plugins/gateway/caller_input.hpp"
 #include "plugins/gateway/message_text.hpp"
 #include "plugins/gateway/refusal.hpp"
 
@@ -13,8 +17,6 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <deque>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -36,6 +38,10 @@
 // Unanswered requests that are read from one connection; further ones stay in the socket's receive
 // buffer.
 constexpr std::size_t max_pipelined_requests = 64;
+// Unsent bytes of answers from which no further request is read from their connection.
+constexpr std::size_t max_unsent_bytes = 262144;
+// Memory of a request beside its message: its state, and its places in the tables of the gateway.
+constexpr std::size_t memory_of_exchange = 1024;
 // Time for which a caller may take nothing of an answer before it is cut off, and time for it to
 // close the connection after the last answer.
 constexpr auto write_timeout = std::chrono::seconds(10);
@@ -55,8 +61,6 @@
 constexpr auto body_timeout = std::chrono::seconds(30);
 constexpr auto sweep_interval = milliseconds(500);
 constexpr auto accept_retry_delay = milliseconds(100);
-// Deadline of requests that state none or an invalid one.
-constexpr auto default_deadline = std::chrono::seconds(60);
 // Maximum number of log lines per second for invalid HTTP requests, so that many of them do not
 // fill the log.
 constexpr double unreadable_log_lines_per_second = 10;
@@ -66,88 +70,15 @@
 // Cause of closing a connection whose answer broke off, for logs and metric labels.
 constexpr std::string_view broken_off_cause = "answer_broke_off";
 
-using parser = http_library::request_parser<http_library::string_body>;
-
-/// The body of an answer that is sent in parts.
-struct answer_stream
-{
-    stream_framing framing = stream_framing::chunked;
-    std::uint64_t length = 0;
-    /// Parts that wait for the connection, as they are sent.
-    std::string pending;
-    bool is_head_sent = false;
-    bool is_complete = false;
-    /// No further part is added until the caller has taken most of these.
-    bool is_paused = false;
-};
+class session;
 
-/// A request and its answer, which is empty until the request has been answered.
-struct exchange
+/// The open connections and what they do, in the same order.
+struct session_list
 {
-    request_pointer request;
-    /// The whole answer, or the head of one that is sent in parts.
-    std::optional<answer> response;
-    std::optional<answer_stream> stream;
-    bool is_head = false;
-    /// Not passed on yet: it stands behind an answer that may still break off, which closes the
-    /// connection.
-    bool is_deferred = false;
-    /// Bytes of the request that count towards the memory limit.
-    std::size_t held_bytes = 0;
-    /// Bytes of the answer that wait here.
-    std::unique_ptr<memory_claim> claim;
+    std::vector<std::shared_ptr<session>> sessions;
+    std::vector<http::connection_state> states;
 };
 
-/// @returns whether nothing more is added to the answer.
-bool is_answered(exchange const& open)
-{
-    return open.response && (!open.stream || open.stream->is_complete);
-}
-
-milliseconds parse_deadline(std::string_view text)
-{
-    std::int64_t value = 0;
-    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    bool const is_valid = failure == std::errc{} && end == text.data() + text.size() && value > 0;
-    constexpr std::int64_t max_deadline_ms = 3'600'000;
-    return is_valid ? milliseconds(std::min(value, max_deadline_ms))
-                    : milliseconds(default_deadline);
-}
-
-caller_request to_request(http_library::request<http_library::string_body>&& message)
-{
-    caller_request result;
-    result.method = std::string(message.method_string());
-    result.target = std::string(message.target());
-    for (auto const& field : message)
-        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    result.body = std::move(message.body());
-    constexpr unsigned http_1_1 = 11;
-    result.accepts_chunks = message.version() >= http_1_1;
-    return result;
-}
-
-refusal to_refusal(error_code failure)
-{
-    if (failure == http_library::error::header_limit)
-        return refusal::header_too_large;
-    if (failure == http_library::error::body_limit)
-        return refusal::body_too_large;
-    return refusal::malformed;
-}
-
-/// @returns why a read from a caller failed, for logs and metric labels.
-std::string_view cause_of_end(error_code failure)
-{
-    if (failure == asio::error::eof)
-        return "caller_closed";
-    if (failure == asio::error::timed_out)
-        return "caller_silent";
-    return "caller_reset";
-}
-
-class session;
-
 } // namespace
 
 struct caller_server::implementation : std::enable_shared_from_this<implementation>
@@ -170,6 +101,10 @@
 
     void listen(kernel::endpoint const& own);
     void accept();
+    void accept_later();
+    /// Closes the connection that can best be spared.
+    /// @returns whether there was one.
+    bool close_one();
     /// Accepts the connections that are established but not accepted yet.
     void accept_pending();
     void open_session(tcp::socket&& socket);
@@ -177,6 +112,12 @@
     /// @returns owning pointers to all sessions: closing a session may destroy it and remove it
     /// from the set.
     [[nodiscard]] std::vector<std::shared_ptr<session>> open_sessions() const;
+    [[nodiscard]] session_list list_sessions() const;
+    [[nodiscard]] bool is_memory_used_up() const
+    {
+        return held_bytes > resource_limits.held_bytes ||
+               memory.held > memory.limit * max_answer_overrun;
+    }
     void count_closed(std::string_view cause) const;
     /// @returns the connection of an unanswered request, or null. Answering may remove the entry,
     /// so the pointer is a copy.
@@ -244,7 +185,7 @@
     void read()
     {
         // Reading goes on after the last request, to notice when the caller disconnects.
-        if (m_is_reading || !m_socket.is_open() || m_exchanges.size() >= max_pipelined_requests)
+        if (m_is_reading || !m_socket.is_open() || (!m_is_last && !may_take_request()))
             return;
         m_is_reading = true;
         m_socket.async_read_some(m_buffer.prepare(read_chunk_bytes),
@@ -333,6 +274,38 @@
         return last != m_exchanges.rend() && last->request != request;
     }
 
+    [[nodiscard]] bool is_open() const
+    {
+        return m_socket.is_open();
+    }
+
+    void close(std::string_view cause)
+    {
+        if (!m_socket.is_open())
+            return;
+        m_is_last = true;
+        m_shared->count_closed(cause);
+        close_socket();
+    }
+
+    [[nodiscard]] http::connection_state state() const
+    {
+        using http::connection_use;
+        if (m_is_lingering)
+            return {connection_use::ending, m_active_at, 0, 0};
+        if (m_is_writing)
+            return {connection_use::sending, m_active_at, m_held_bytes, unsent_bytes()};
+        if (!m_exchanges.empty())
+            return {connection_use::running, m_active_at, m_held_bytes, unsent_bytes()};
+        if (!has_partial_request())
+            return {connection_use::idle, m_active_at, 0, 0};
+        bool const has_head = m_parser && m_parser->is_header_done();
+        return {has_head ? connection_use::receiving_body : connection_use::receiving_head,
+                m_request_began_at,
+                m_held_bytes,
+                0};
+    }
+
     [[nodiscard]] bool is_busy() const
     {
         return !m_exchanges.empty() || m_is_writing;
@@ -443,32 +416,80 @@
         if (!has_partial_request())
             m_request_began_at = m_active_at;
         m_buffer.commit(bytes);
-        m_held_bytes += bytes;
-        m_shared->held_bytes += bytes;
-        if (m_shared->held_bytes > m_shared->resource_limits.held_bytes ||
-            m_shared->memory.held > m_shared->memory.limit * max_answer_overrun)
+        hold(m_held_bytes + bytes);
+        if (!make_room())
             return refuse(refusal::no_memory);
         parse();
     }
 
+    // Sets the memory of the request that is being read.
+    void hold(std::size_t bytes)
+    {
+        m_shared->held_bytes = m_shared->held_bytes - m_held_bytes + bytes;
+        m_held_bytes = bytes;
+    }
+
     void release(std::size_t bytes)
     {
         m_shared->held_bytes -= bytes;
     }
 
+    // @returns whether a body may be read; one that is certain not to fit is refused before that.
+    [[nodiscard]] bool fits(boost::optional<std::uint64_t> const& length) const
+    {
+        auto const others = m_shared->held_bytes - m_held_bytes;
+        return !length || others + *length <= m_shared->resource_limits.held_bytes;
+    }
+
+    // Frees memory at the expense of callers that hold it for long.
+    // @returns whether a request may be added to what is held.
+    [[nodiscard]] bool make_room()
+    {
+        if (!m_shared->is_memory_used_up())
+            return true;
+        auto const now = kernel::monotonic_now();
+        auto const all = m_shared->list_sessions();
+        if (auto const largest = http::choose_request_to_refuse(all.states, now))
+            all.sessions[*largest]->refuse(refusal::no_memory);
+        if (auto const slow = http::choose_slow_reader(all.states, now);
+            slow && is_exhausted(m_shared->memory))
+            all.sessions[*slow]->abandon("slow_reader");
+        return !m_is_last && !m_shared->is_memory_used_up();
+    }
+
+    [[nodiscard]] bool may_take_request() const
+    {
+        return !m_is_last && m_exchanges.size() < max_pipelined_requests &&
+               unsent_bytes() < max_unsent_bytes;
+    }
+
+    [[nodiscard]] std::size_t unsent_bytes() const
+    {
+        return m_output.size() + claimed_bytes(m_exchanges);
+    }
+
     void parse()
     {
-        while (m_buffer.size() > 0 && !m_is_last && m_exchanges.size() < max_pipelined_requests)
+        parse_input();
+        hold(m_buffer.size() + (m_parser ? m_parser->memory() : 0));
+    }
+
+    void parse_input()
+    {
+        while (m_buffer.size() > 0 && may_take_request())
         {
             if (!m_parser)
                 start_parser();
             error_code failure;
-            auto const used = m_parser->put(m_buffer.data(), failure);
+            bool const was_in_head = !m_parser->is_header_done();
+            auto const used = m_parser->put_bounded(m_buffer.data(), failure);
             m_buffer.consume(used);
             if (failure == http_library::error::need_more)
                 return offer_to_continue();
             if (failure)
                 return refuse(to_refusal(failure));
+            if (was_in_head && m_parser->is_header_done() && !fits(m_parser->content_length()))
+                return refuse(refusal::no_memory);
             if (m_parser->is_done())
                 take_request();
             else if (used == 0)
@@ -479,10 +500,8 @@
 
     void start_parser()
     {
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(m_shared->limits.header_bytes);
-        m_parser->body_limit(m_shared->limits.body_bytes);
+        m_parser.emplace(
+            http::parser_limits{m_shared->limits.header_bytes, m_shared->limits.body_bytes});
         m_has_continued = false;
     }
 
@@ -517,9 +536,14 @@
         request->caller_deadline =
             m_request_began_at + parse_deadline(find_header_value(headers, names.remaining_ms));
         m_request_began_at = m_active_at;
-        // If the buffer also holds the beginning of the next pipelined request, those bytes are
-        // counted with this request.
-        auto const held = std::exchange(m_held_bytes, 0);
+        hold(m_buffer.size());
+        auto const held = memory_of(request->message) + memory_of_exchange;
+        m_shared->held_bytes += held;
+        if (!make_room())
+        {
+            release(held);
+            return refuse(refusal::no_memory);
+        }
         bool const is_deferred = has_open_stream();
         auto& added = add_exchange(request, held);
         added.is_head = request->message.method == "HEAD";
@@ -572,8 +596,10 @@
                               {{"reason", to_string(cause)},
                                {"suppressed", m_shared->unreadable_log_limiter.take_suppressed()}});
         m_is_last = true;
-        add_exchange(nullptr, std::exchange(m_held_bytes, 0)).response =
-            make_refusal(cause, std::nullopt);
+        m_parser.reset();
+        m_buffer.clear();
+        hold(0);
+        add_exchange(nullptr, 0).response = make_refusal(cause, std::nullopt);
         write();
     }
 
@@ -760,15 +786,6 @@
         }
     }
 
-    void close(std::string_view cause)
-    {
-        if (!m_socket.is_open())
-            return;
-        m_is_last = true;
-        m_shared->count_closed(cause);
-        close_socket();
-    }
-
     void close_socket()
     {
         error_code ignored;
@@ -783,7 +800,7 @@
     tcp::socket m_socket;
     std::string m_caller_address;
     beast::flat_buffer m_buffer;
-    std::optional<parser> m_parser;
+    std::optional<http::bounded_parser> m_parser;
     std::deque<exchange> m_exchanges;
     std::string m_output;
     memory_claim m_output_claim;
@@ -829,29 +846,58 @@
 
 void caller_server::implementation::accept()
 {
+    // Callers wait in the backlog until a connection can be spared.
+    if (sessions.size() >= resource_limits.connections && !close_one())
+        return accept_later();
     acceptor.async_accept(
         [self = shared_from_this()](error_code failure, tcp::socket socket)
         {
             if (failure == asio::error::operation_aborted)
                 return;
-            if (failure || self->sessions.size() >= self->resource_limits.connections)
+            if (failure)
             {
-                self->count_closed(failure ? "accept_failed" : "too_many_connections");
-                error_code ignored;
-                socket.close(ignored);
-                self->loop.after(accept_retry_delay,
-                                 [self]()
-                                 {
-                                     if (self->acceptor.is_open())
-                                         self->accept();
-                                 });
-                return;
+                // For example, no file descriptor is free.
+                self->count_closed("accept_failed");
+                self->close_one();
+                return self->accept_later();
             }
             self->open_session(std::move(socket));
             self->accept();
         });
 }
 
+void caller_server::implementation::accept_later()
+{
+    loop.after(accept_retry_delay,
+               [self = shared_from_this()]()
+               {
+                   if (self->acceptor.is_open())
+                       self->accept();
+               });
+}
+
+bool caller_server::implementation::close_one()
+{
+    auto const all = list_sessions();
+    auto const spare = http::choose_connection_to_close(all.states, kernel::monotonic_now());
+    if (spare)
+        all.sessions[*spare]->close("too_many_connections");
+    return spare.has_value();
+}
+
+session_list caller_server::implementation::list_sessions() const
+{
+    session_list result;
+    for (auto& one : open_sessions())
+    {
+        if (!one->is_open())
+            continue;
+        result.states.push_back(one->state());
+        result.sessions.push_back(std::move(one));
+    }
+    return result;
+}
+
 void caller_server::implementation::open_session(tcp::socket&& socket)
 {
     error_code ignored;
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -16,6 +16,7 @@
 #include "plugins/gateway/load_exchange.hpp"
 #include "plugins/gateway/server_connection_pool.hpp"
 #include "plugins/gateway/status_report.hpp"
+#include "plugins/memory/host_shares.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,16 +44,6 @@
 constexpr auto sweep_interval = milliseconds(500);
 // Maximum number of log lines per second for malformed directory queries.
 constexpr double directory_log_lines_per_second = 10;
-// File descriptors reserved for the store, the daemon's own HTTP servers, logs and files.
-constexpr double reserved_descriptors = 256;
-// Share of the other descriptors for connections of callers; the rest is for backend servers.
-constexpr double caller_share_of_descriptors = 0.6;
-// Share of the memory for requests that are being read or await their answers. It is low because
-// each request is copied once to be sent, and answers need memory too.
-constexpr double request_share_of_memory = 0.2;
-// Share of the memory for answers that backend servers have sent and callers have not taken yet.
-// When it is used up, answers are read as fast as callers take them.
-constexpr double answer_share_of_memory = 0.25;
 // Share of the shutdown grace period in which new connections are accepted, since callers may still
 // use a cached directory answer.
 constexpr double accepting_share_of_grace = 0.6;
@@ -63,23 +54,6 @@
 constexpr auto settlement_epoch = std::chrono::minutes(1);
 constexpr auto drain_check_interval = milliseconds(50);
 
-std::size_t share_of_memory(kernel::host_resources const& resources, double share)
-{
-    constexpr double bytes_per_mb = 1e6;
-    return static_cast<std::size_t>(resources.memory_mb * bytes_per_mb * share);
-}
-
-caller_server_limits make_caller_server_limits(kernel::host_resources const& resources)
-{
-    constexpr double min_connections = 16;
-    auto const usable =
-        (resources.descriptors - reserved_descriptors) * caller_share_of_descriptors;
-    caller_server_limits limits;
-    limits.connections = static_cast<std::size_t>(std::max(usable, min_connections));
-    limits.held_bytes = share_of_memory(resources, request_share_of_memory);
-    return limits;
-}
-
 class gateway_duty : public kernel::duty
 {
 public:
@@ -90,7 +64,7 @@
         , m_events(context.shared<kernel::mailbox<events::gateway_event>>())
         , m_settle_requests(context.shared<kernel::mailbox<events::settle_request>>())
         , m_reloaded_settings(context.shared<kernel::snapshot<kernel::settings>>())
-        , m_answer_memory{share_of_memory(m_settings.resources, answer_share_of_memory)}
+        , m_answer_memory{memory::answer_memory(m_settings.resources)}
         , m_timer(m_loop.context())
         , m_dispatcher(context.own_settings(), make_actions(), context.own_metrics())
         , m_pool(m_loop,
@@ -102,7 +76,8 @@
                           context.own_metrics(),
                           m_settings.callers,
                           m_interface.headers,
-                          make_caller_server_limits(m_settings.resources),
+                          {memory::caller_connections(m_settings.resources),
+                           memory::request_memory(m_settings.resources)},
                           m_answer_memory,
                           make_caller_server_events())
         , m_readiness(make_server(m_settings.readiness, &gateway_duty::answer_readiness))
@@ -292,7 +267,8 @@
             [this, answer](http::server_request const& wanted, http::reply_function const& reply)
             {
                 reply((this->*answer)(wanted));
-            });
+            },
+            memory::service_limits(m_settings.resources));
     }
 
     void handle(events::store_update<routing::routing_document> const& update)
--- a/plugins/gateway/message.cpp
+++ b/plugins/gateway/message.cpp
@@ -35,8 +35,27 @@
     return false;
 }
 
+// What the allocator adds to an allocation.
+constexpr std::size_t allocation_overhead = 16;
+
+// Memory of a string beside the object itself, which holds short ones.
+std::size_t heap_memory(std::string const& text)
+{
+    bool const is_short = text.capacity() <= std::string().capacity();
+    return is_short ? 0 : text.capacity() + allocation_overhead;
+}
+
 } // namespace
 
+std::size_t memory_of(caller_request const& request)
+{
+    auto sum = sizeof(request) + heap_memory(request.method) + heap_memory(request.target) +
+               heap_memory(request.body) + request.headers.capacity() * sizeof(message_header);
+    for (auto const& header : request.headers)
+        sum += heap_memory(header.name) + heap_memory(header.value);
+    return sum;
+}
+
 bool is_same_header_name(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(),
--- a/plugins/gateway/message.hpp
+++ b/plugins/gateway/message.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// Complete HTTP requests and answers, and access to their headers.
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,10 @@
     std::string body;
 };
 
+/// @returns the memory that a request occupies, in bytes; a header of four bytes takes many times
+/// that.
+[[nodiscard]] std::size_t memory_of(caller_request const& request);
+
 /// @returns whether two header names are equal, ignoring case.
 [[nodiscard]] bool is_same_header_name(std::string_view left, std::string_view right);
 
--- a/plugins/peer/nng_sockets.cpp
+++ b/plugins/peer/nng_sockets.cpp
@@ -2,12 +2,15 @@
 
 #include "kernel/log.hpp"
 #include "plugins/peer/bounded_call.hpp"
+#include "plugins/peer/pipe_limit.hpp"
 
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
 #include <atomic>
+#include <cstring>
+#include <iterator>
 #include <mutex>
 #include <system_error>
 #include <unordered_set>
@@ -64,6 +67,23 @@
     }
 }
 
+// @returns the address of the other side without its port, or an empty text.
+std::string address_of(nng_pipe pipe)
+{
+    nng_sockaddr remote{};
+    if (nng_pipe_get_addr(pipe, NNG_OPT_REMADDR, &remote) != 0)
+        return {};
+    if (remote.s_family == NNG_AF_INET)
+    {
+        std::string text(sizeof(remote.s_in.sa_addr), '\0');
+        std::memcpy(text.data(), &remote.s_in.sa_addr, text.size());
+        return text;
+    }
+    if (remote.s_family == NNG_AF_INET6)
+        return {std::begin(remote.s_in6.sa_addr), std::end(remote.s_in6.sa_addr)};
+    return {};
+}
+
 void check(int code, std::string_view action, std::string const& url)
 {
     if (code != 0)
@@ -77,7 +97,49 @@
 {
 }
 
+/// Closes the connections above the limit of their address. nng calls back on its own threads, also
+/// while the socket is being closed and later when that is stuck, so a callback handles only an
+/// admission that is still listed.
+struct pull_socket::admission
+{
+    static inline std::mutex admissions_mutex;
+    static inline std::unordered_set<admission*> admissions;
+
+    pipe_limit limit;
+
+    admission()
+    {
+        std::lock_guard const lock(admissions_mutex);
+        admissions.insert(this);
+    }
+
+    ~admission()
+    {
+        std::lock_guard const lock(admissions_mutex);
+        admissions.erase(this);
+    }
+
+    admission(admission const&) = delete;
+    admission& operator=(admission const&) = delete;
+
+    static void handle(nng_pipe pipe, nng_pipe_ev event, void* argument)
+    {
+        std::unique_lock lock(admissions_mutex);
+        auto const found = admissions.find(static_cast<admission*>(argument));
+        if (found == admissions.end())
+            return;
+        auto& limit = (*found)->limit;
+        if (event == NNG_PIPE_EV_REM_POST)
+            return remove_pipe(limit, nng_pipe_id(pipe));
+        bool const is_permitted = add_pipe(limit, nng_pipe_id(pipe), address_of(pipe));
+        lock.unlock();
+        if (!is_permitted)
+            nng_pipe_close(pipe);
+    }
+};
+
 pull_socket::pull_socket(std::string const& address, std::uint16_t port)
+    : m_admission(std::make_shared<admission>())
 {
     auto const url = make_url(address, port);
     nng_socket socket{};
@@ -88,6 +150,9 @@
         check(nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, largest_transported),
               "set a limit",
               url);
+        for (auto const event : {NNG_PIPE_EV_ADD_PRE, NNG_PIPE_EV_REM_POST})
+            check(
+                nng_pipe_notify(socket, event, admission::handle, m_admission.get()), "watch", url);
         nng_listener listener{};
         check(nng_listen(socket, url.c_str(), &listener, 0), "listen", url);
         int bound_port = 0;
--- a/plugins/peer/nng_sockets.hpp
+++ b/plugins/peer/nng_sockets.hpp
@@ -23,8 +23,9 @@
 /// envelope. A longer one is refused.
 inline constexpr std::size_t largest_message = std::size_t{1024} * 1024 + 8192;
 /// Largest message that the transport reads, in bytes. It closes the connection of a sender that
-/// exceeds it, which cannot be counted, so it is well above what is refused.
-inline constexpr std::size_t largest_transported = 4 * largest_message;
+/// exceeds it, which cannot be counted, so it is above what is refused. It reserves memory for a
+/// whole message at its first byte, so it is not far above that.
+inline constexpr std::size_t largest_transported = largest_message + largest_message / 4;
 
 /// An nng socket cannot be made or listened on.
 class transport_error : public kernel::error
@@ -58,8 +59,11 @@
     [[nodiscard]] std::uint16_t port() const;
 
 private:
+    struct admission;
+
     std::uint32_t m_socket = 0;
     std::uint16_t m_port = 0;
+    std::shared_ptr<admission> m_admission;
 };
 
 /// Sends messages to one peer, which it dials in the background again and again.
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -136,6 +136,11 @@
     return false;
 }
 
+void raw_connection::end_output() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
 void raw_connection::close()
 {
     if (m_descriptor >= 0)
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -48,6 +48,9 @@
 
     void close();
 
+    /// Ends the own output; the input can still be received.
+    void end_output() const;
+
     /// Closes the connection with a reset.
     void reset();
 
