gateway: Decode all figures of the load header and share them between hosts

Cause: parse_load read running and waiting requests only. Slots and the slowdown of the server's machine were lost, on this host and in the datagrams to others. It decides the wait for queueing, so this affects deployments without customers where a server sends the fourth figure.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -390,7 +390,7 @@
     // The request is already counted as waiting, but does not wait for itself.
     --request->awaited_server->own_queued;
     auto wait_seconds =
-        expected_wait_seconds(*request->awaited_server, state.smoothed_run_seconds, now);
+        expected_finish(*request->awaited_server, state.smoothed_run_seconds, now).start;
     ++request->awaited_server->own_queued;
     if (auto const& limit = request->awaited_server->limit)
         wait_seconds = std::max(wait_seconds, seconds_until_permitted(*limit, now));
--- a/plugins/gateway/load_report.hpp
+++ b/plugins/gateway/load_report.hpp
@@ -26,14 +26,17 @@
 {
     /// Hash of the server's id.
     std::uint64_t server_hash = 0;
-    /// Running and waiting requests of all daemons.
-    std::uint16_t requests = 0;
+    server_load load;
     /// Time since the server reported the load.
     std::chrono::milliseconds age{0};
 };
 
 /// Maximum number of loads in one datagram, so that it fits in one Ethernet frame with its headers.
-inline constexpr std::size_t max_loads_per_datagram = 100;
+inline constexpr std::size_t max_loads_per_datagram = 75;
+
+/// The same in datagrams of version 1, which hold the running and waiting requests as one number
+/// and neither slots nor slowdown.
+inline constexpr std::size_t max_loads_per_datagram_of_version_1 = 100;
 
 /// Age from which a load is outdated and is neither sent nor applied.
 inline constexpr std::chrono::milliseconds max_shared_load_age{2000};
@@ -42,7 +45,8 @@
 /// `loads` is empty.
 [[nodiscard]] std::vector<std::string> encode_loads(std::span<shared_load const> loads);
 
-/// @returns the loads of a datagram, or nothing if it is malformed or has another version.
+/// @returns the loads of a datagram of version 1 or 2, or nothing if it is malformed or has another
+/// version.
 [[nodiscard]] std::optional<std::vector<shared_load>> decode_loads(std::string_view datagram);
 
 /// Selects which loads are collected.
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -115,8 +115,8 @@
     attempt_result result = attempt_result::broken;
     /// Valid for `answered` and `not_started`.
     answer received;
-    /// Number of running and waiting requests, if the backend server reported its load.
-    std::optional<double> reported_load;
+    /// Missing unless the backend server reported its load.
+    std::optional<server_load> reported_load;
     /// Cause of the failure, for logs; empty on success.
     std::string_view detail;
 };
--- a/plugins/gateway/server_answer.cpp
+++ b/plugins/gateway/server_answer.cpp
@@ -1,7 +1,5 @@
 #include "plugins/gateway/server_answer.hpp"
 
-#include <charconv>
-
 namespace pistachiohub::gateway
 {
 
@@ -12,17 +10,6 @@
 constexpr unsigned min_redirect_status = 300;
 constexpr unsigned misdirected_request = 421;
 
-/// Parses a decimal number at the start of `text` and removes it from there.
-std::optional<unsigned> consume_number(std::string_view& text)
-{
-    unsigned value = 0;
-    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (failure != std::errc{})
-        return std::nullopt;
-    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
-    return value;
-}
-
 } // namespace
 
 message_meaning classify_message(answer const& received,
@@ -45,16 +32,4 @@
     return message_meaning::answer;
 }
 
-std::optional<double> parse_load(std::string_view value)
-{
-    auto const running = consume_number(value);
-    if (!running || !value.starts_with(','))
-        return std::nullopt;
-    value.remove_prefix(1);
-    auto const waiting = consume_number(value);
-    if (!waiting)
-        return std::nullopt;
-    return static_cast<double>(*running) + *waiting;
-}
-
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_answer.hpp
+++ b/plugins/gateway/server_answer.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
 /// @file
-/// Classification of messages that backend servers send, and parsing of their load header.
+/// Classification of messages that backend servers send.
 
 #include "libraries/interface/interface.hpp"
 #include "plugins/gateway/request.hpp"
 
-#include <optional>
 #include <string_view>
 
 namespace pistachiohub::gateway
@@ -34,8 +33,4 @@
                                                interface::message_headers const& names,
                                                std::string_view request_id);
 
-/// @returns the number of running and waiting requests together, as stated by a load header
-/// (`running,waiting,slots`), or nothing if the header is missing or malformed.
-[[nodiscard]] std::optional<double> parse_load(std::string_view value);
-
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -331,31 +331,31 @@
     return estimated_load(server, now) + 0.5 <= server.record.slots * (1 + queue_per_slot);
 }
 
-double
-expected_wait_seconds(known_server const& server, double run_seconds, kernel::monotonic_time now)
-{
-    auto const slots = static_cast<double>(std::max<std::uint32_t>(server.record.slots, 1));
-    auto const requests_ahead =
-        std::max(0.0, estimated_load(server, now) + 1 - slots) + server.own_queued;
-    return requests_ahead * run_seconds / slots;
+finish_estimate
+expected_finish(known_server const& server, double run_seconds, kernel::monotonic_time now)
+{
+    auto const& reported = server.report.total;
+    return estimate_finish(
+        {estimated_load(server, now),
+         static_cast<double>(server.own_queued),
+         static_cast<double>(reported.slots.value_or(server.record.slots)),
+         run_seconds,
+         slowdown_factor(reported.slowdown_percent, now - server.report.sent_at)});
 }
 
-void record_load(known_server& server, double total, kernel::monotonic_time now)
+void record_load(known_server& server, server_load const& total, kernel::monotonic_time now)
 {
-    server.report = {std::max(0.0, total - server.own_in_flight),
-                     static_cast<std::uint32_t>(total),
-                     now,
-                     now,
-                     true};
+    record_shared_load(server, total, now, now);
+    server.report.is_direct = true;
 }
 
 void record_shared_load(known_server& server,
-                        std::uint32_t total,
+                        server_load const& total,
                         kernel::monotonic_time at,
                         kernel::monotonic_time now)
 {
-    auto const other_requests = std::max(0.0, static_cast<double>(total) - server.own_in_flight);
-    server.report = {other_requests, total, at, now, false};
+    auto const requests = static_cast<double>(total.running) + total.waiting;
+    server.report = {std::max(0.0, requests - server.own_in_flight), total, at, now, false};
 }
 
 void record_failure(server_table const& table,
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -8,6 +8,7 @@
 #include "libraries/fleet/backend_server.hpp"
 #include "libraries/routing/routing_table.hpp"
 #include "plugins/gateway/rate_limit.hpp"
+#include "plugins/gateway/server_load.hpp"
 
 #include <deque>
 #include <map>
@@ -35,8 +36,8 @@
 {
     /// Running and waiting requests of the other daemons.
     double other_requests = 0;
-    /// Running and waiting requests of all daemons.
-    std::uint32_t total_requests = 0;
+    /// What the server reported of all daemons.
+    server_load total;
     /// When the server sent the report.
     kernel::monotonic_time sent_at;
     /// When this daemon received the report.
@@ -189,20 +190,17 @@
 [[nodiscard]] bool
 has_capacity(known_server const& server, kernel::monotonic_time now, double queue_per_slot = 0);
 
-/// @returns the expected time in seconds until the server has a free slot for a further request of
-/// this daemon.
-/// @param run_seconds time in seconds for which a request occupies a slot.
-[[nodiscard]] double
-expected_wait_seconds(known_server const& server, double run_seconds, kernel::monotonic_time now);
+/// @returns when a further request of this daemon is expected to start and to finish at the server.
+/// @param run_seconds usual time in seconds for which a request occupies a slot.
+[[nodiscard]] finish_estimate
+expected_finish(known_server const& server, double run_seconds, kernel::monotonic_time now);
 
 /// Records the load that the server reported in an answer to this daemon.
-/// @param total running and waiting requests of all daemons, without the answered one.
-void record_load(known_server& server, double total, kernel::monotonic_time now);
+void record_load(known_server& server, server_load const& total, kernel::monotonic_time now);
 
 /// Records the load that the server reported to another daemon at the time `at`.
-/// @param total running and waiting requests of all daemons.
 void record_shared_load(known_server& server,
-                        std::uint32_t total,
+                        server_load const& total,
                         kernel::monotonic_time at,
                         kernel::monotonic_time now);
 
--- a/tests/gateway/limit_fleet.cpp
+++ b/tests/gateway/limit_fleet.cpp
@@ -230,7 +230,8 @@
     gateway::attempt_end ended;
     ended.result = attempt_result::answered;
     ended.received.status = 200;
-    ended.reported_load = static_cast<double>(answering.running);
+    ended.reported_load =
+        gateway::server_load{static_cast<std::uint32_t>(answering.running), 0, {}, {}};
     sender.decisions->attempt_ended(request, std::move(ended), m_now);
 }
 
--- a/tests/gateway/load_exchange_test.cpp
+++ b/tests/gateway/load_exchange_test.cpp
@@ -87,12 +87,12 @@
                     .value();
             return datagrams_read >= 2;
         }));
-    gateway::record_load(m_first.server(), 9, kernel::monotonic_now());
+    gateway::record_load(m_first.server(), {9, 0, {}, {}}, kernel::monotonic_now());
     CHECK(run_until(
         [this]()
         {
-            return m_second.server().report.total_requests == 9 &&
-                   m_reader.server().report.total_requests == 9;
+            return m_second.server().report.total.running == 9 &&
+                   m_reader.server().report.total.running == 9;
         }));
     CHECK_FALSE(m_second.server().report.is_direct);
 }
--- a/tests/gateway/message_text_test.cpp
+++ b/tests/gateway/message_text_test.cpp
@@ -137,7 +137,7 @@
 
 TEST_CASE("load_header_is_parsed_or_ignored", "[gateway]")
 {
-    CHECK(gateway::parse_load("3,2,8") == 5.0);
+    CHECK(gateway::parse_load("3,2,8") == gateway::server_load{3, 2, 8, {}});
     CHECK_FALSE(gateway::parse_load(""));
     CHECK_FALSE(gateway::parse_load("3"));
     CHECK_FALSE(gateway::parse_load("x,2,8"));
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -286,7 +286,7 @@
     apply_record(make_server("i-1"));
     auto& server = *m_table.servers.at("i-1");
     server.own_in_flight = 1;
-    gateway::record_load(server, 5, m_now);
+    gateway::record_load(server, {5, 0, {}, {}}, m_now);
     CHECK(gateway::estimated_load(server, m_now) == Approx(5));
     CHECK_FALSE(gateway::has_capacity(server, m_now));
     CHECK(gateway::estimated_load(server, m_now + milliseconds(500)) == Approx(3));
