gateway: Send a request without an object where it is expected to finish first

Cause: The server was chosen by its load per slot. A disturbed machine with a free slot was preferred to a fuller one that finishes earlier. The new case fails with the order before.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -333,6 +333,7 @@
     input.may_leave_region = state.cross_region_tokens >= 1 &&
                              (request->sends > 0 || waited > region_wait_fraction * target);
     input.queue_per_slot = queue_per_slot(state.smoothed_run_seconds, target.count());
+    input.run_seconds = state.smoothed_run_seconds;
     input.servers_per_object = servers_per_object;
     input.now = now;
     auto chosen = choose_server(m_servers,
@@ -389,8 +390,11 @@
     assert(request->awaited_server);
     // The request is already counted as waiting, but does not wait for itself.
     --request->awaited_server->own_queued;
-    auto wait_seconds =
-        expected_finish(*request->awaited_server, state.smoothed_run_seconds, now).start;
+    auto wait_seconds = expected_finish(*request->awaited_server,
+                                        state.smoothed_run_seconds,
+                                        request->awaited_server->own_queued,
+                                        now)
+                            .start;
     ++request->awaited_server->own_queued;
     if (auto const& limit = request->awaited_server->limit)
         wait_seconds = std::max(wait_seconds, seconds_until_permitted(*limit, now));
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
+#include <utility>
 
 namespace pistachiohub::gateway
 {
@@ -107,19 +109,42 @@
            (input.now >= server.cold_until || admit_cold_request(server));
 }
 
-// Returns the least loaded server with room, or null.
+// Returns the expected finish of a request at the server, with an addition for the slots in use:
+// what is known of a server is a few tenths of a second old, and the fuller it was, the likelier it
+// is that it has no free slot any more.
+double finish_with_contention(known_server const& server, choice_input const& input)
+{
+    // Without a known run, the servers are compared as if all runs took the same time.
+    auto const run = input.run_seconds > 0 ? input.run_seconds : 1;
+    auto const expected = expected_finish(server, run, 0, input.now);
+    auto const slots = std::max<double>(server.record.slots, 1);
+    auto const in_use = std::min(estimated_load(server, input.now) + 1, slots) / slots;
+    return expected.finish + (expected.finish - expected.start) * in_use;
+}
+
+// Orders servers by the expected finish of a request.
+void sort_by_finish(std::span<server_pointer> servers, choice_input const& input)
+{
+    std::vector<std::pair<double, server_pointer>> by_finish;
+    for (auto const& server : servers)
+        by_finish.emplace_back(finish_with_contention(*server, input), server);
+    std::stable_sort(by_finish.begin(),
+                     by_finish.end(),
+                     [](auto const& left, auto const& right)
+                     {
+                         return left.first < right.first;
+                     });
+    for (std::size_t position = 0; position < servers.size(); ++position)
+        servers[position] = std::move(by_finish[position].second);
+}
+
+// Returns the server with room where the request is expected to finish first, or null.
 server_pointer least_loaded(tier const& at_distance,
                             choice_input const& input,
                             std::function<bool(known_server&)> const& admit_cold_request)
 {
     auto by_load = at_distance.servers;
-    std::sort(by_load.begin(),
-              by_load.end(),
-              [&input](server_pointer const& left, server_pointer const& right)
-              {
-                  return estimated_load(*left, input.now) * right->record.slots <
-                         estimated_load(*right, input.now) * left->record.slots;
-              });
+    sort_by_finish(by_load, input);
     for (auto const& server : by_load)
     {
         if (can_accept(*server, input, admit_cold_request))
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -34,6 +34,8 @@
     bool may_leave_domain = false;
     /// Requests that may wait at a server for each of its slots.
     double queue_per_slot = 0;
+    /// Usual time in seconds for which a request occupies a slot; 0 if unknown.
+    double run_seconds = 0;
     /// Number of servers, in the ranking of the object, that may run the request.
     std::size_t servers_per_object = max_servers_per_object;
     kernel::monotonic_time now;
@@ -59,9 +61,9 @@
 };
 
 /// Chooses the backend server for the next send of a request. A request with an affinity key gets
-/// the first server with room in the ranking of its object; another request gets the least loaded
-/// server with room, at the distance selected by `input.sample` or the nearest permitted one.
-/// Servers that the request was sent to before are left out.
+/// the first server with room in the ranking of its object; another request gets the server
+/// with room where it is expected to finish first, at the distance selected by `input.sample` or
+/// the nearest permitted one. Servers that the request was sent to before are left out.
 /// @param admit_cold_request returns whether one request may be sent to a cold server, and counts
 /// it.
 /// @returns the chosen server, or the reason why there is none.
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -331,13 +331,15 @@
     return estimated_load(server, now) + 0.5 <= server.record.slots * (1 + queue_per_slot);
 }
 
-finish_estimate
-expected_finish(known_server const& server, double run_seconds, kernel::monotonic_time now)
+finish_estimate expected_finish(known_server const& server,
+                                double run_seconds,
+                                double queued,
+                                kernel::monotonic_time now)
 {
     auto const& reported = server.report.total;
     return estimate_finish(
         {estimated_load(server, now),
-         static_cast<double>(server.own_queued),
+         queued,
          static_cast<double>(reported.slots.value_or(server.record.slots)),
          run_seconds,
          slowdown_factor(reported.slowdown_percent, now - server.report.sent_at)});
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -192,8 +192,11 @@
 
 /// @returns when a further request of this daemon is expected to start and to finish at the server.
 /// @param run_seconds usual time in seconds for which a request occupies a slot.
-[[nodiscard]] finish_estimate
-expected_finish(known_server const& server, double run_seconds, kernel::monotonic_time now);
+/// @param queued requests of this daemon that wait for a slot of the server and are ahead.
+[[nodiscard]] finish_estimate expected_finish(known_server const& server,
+                                              double run_seconds,
+                                              double queued,
+                                              kernel::monotonic_time now);
 
 /// Records the load that the server reported in an answer to this daemon.
 void record_load(known_server& server, server_load const& total, kernel::monotonic_time now);
--- a/tests/gateway/server_choice_test.cpp
+++ b/tests/gateway/server_choice_test.cpp
@@ -73,4 +73,37 @@
     }
 }
 
+/// Returns the choice for a request without an object.
+gateway::server_choice choose_any(gateway::server_table const& table)
+{
+    static routing::route const route;
+    gateway::gateway_request request;
+    request.service = "s";
+    request.route = &route;
+    gateway::choice_input input;
+    input.run_seconds = 0.1;
+    input.now = start;
+    return gateway::choose_server(table,
+                                  request,
+                                  input,
+                                  [](gateway::known_server&)
+                                  {
+                                      return true;
+                                  });
+}
+
+// Load pattern: the machines of some servers are disturbed. Requests that find a free slot there
+// finish later than at a fuller server.
+TEST_CASE("server_choice_prefers_the_earlier_finish_to_the_lower_load", "[gateway]")
+{
+    auto const table = make_table("sve-a");
+    for (auto const& [id, server] : table.servers)
+        gateway::record_load(*server, {0, 0, 4, 300}, start);
+    gateway::record_load(*table.servers.at("sve-a-2"), {3, 0, 4, 100}, start);
+    CHECK(choose_any(table).server->record.id == "sve-a-2");
+    // Equal machines share the load.
+    gateway::record_load(*table.servers.at("sve-a-1"), {1, 0, 4, 102}, start);
+    CHECK(choose_any(table).server->record.id == "sve-a-1");
+}
+
 } // namespace pistachiohub
--- a/tests/gateway/server_load_test.cpp
+++ b/tests/gateway/server_load_test.cpp
@@ -57,13 +57,13 @@
     kernel::monotonic_time const now{std::chrono::hours(1)};
     gateway::known_server server;
     server.record.slots = 4;
-    CHECK(gateway::expected_finish(server, 0.2, now).finish == Approx(0.2));
+    CHECK(gateway::expected_finish(server, 0.2, 0, now).finish == Approx(0.2));
     gateway::record_load(server, {4, 4, 4, 200}, now);
-    auto const slow = gateway::expected_finish(server, 0.2, now);
+    auto const slow = gateway::expected_finish(server, 0.2, 0, now);
     CHECK(slow.start == Approx(5 * 0.4 / 4));
     CHECK(slow.finish == Approx(slow.start + 0.4));
     gateway::record_load(server, {0, 0, 4, 50}, now);
-    CHECK(gateway::expected_finish(server, 0.2, now).finish == Approx(0.1));
+    CHECK(gateway::expected_finish(server, 0.2, 0, now).finish == Approx(0.1));
 }
 
 } // namespace pistachiohub
