gateway: Place objects by adapted weights, behind gateway.placement

Cause: choose_by_object took the second server whenever the first had no room at that instant, and the second let overflow queue. Cold runs displaced its own objects to their second servers in turn. Change: With gateway.placement = stable the first server may have twice the queue (at most 1 for each slot), the second takes overflow only in a free slot, and the weights of the servers follow their load slowly with hysteresis (plugins/placement/server_weight). by_load, the default, chooses as before. Objects that change their server are counted by cause in a sample (plugins/placement/move_sample). Product tests not run yet.

--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -92,6 +92,19 @@
     return regions;
 }
 
+placement_rule read_placement(settings_reader& reader)
+{
+    if (reader.find("placement") == nullptr)
+        return placement_rule::by_load;
+    auto const is_rule = [](std::string_view value)
+    {
+        return value == "by_load" || value == "stable";
+    };
+    return reader.text("placement", "by_load or stable", is_rule) == "stable"
+               ? placement_rule::stable
+               : placement_rule::by_load;
+}
+
 } // namespace
 
 gateway_settings read_gateway_settings(json::value const& value, std::string const& path)
@@ -116,6 +129,7 @@
         result.bounds = read_bounds(*bounds, reader.key_path("bounds"));
     if (auto const* const resources = reader.find("resources"))
         result.resources = read_resources(*resources, reader.key_path("resources"));
+    result.placement = read_placement(reader);
     reader.refuse_unknown_keys();
     return result;
 }
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -60,6 +60,16 @@
     double link_mbps = 1000;
 };
 
+/// How the backend server of an object is chosen among those that rank first for it.
+enum class placement_rule
+{
+    /// The next server is used whenever the first one has no room.
+    by_load,
+    /// The first server may have a longer queue before the next one is used, and the shares of the
+    /// servers follow their load slowly.
+    stable
+};
+
 /// Settings of the gateway.
 struct gateway_settings
 {
@@ -81,6 +91,7 @@
     std::chrono::milliseconds settlement_interval{10000};
     gateway_bounds bounds;
     host_resources resources;
+    placement_rule placement = placement_rule::by_load;
 };
 
 } // namespace pistachiohub::kernel
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -145,6 +145,7 @@
                        kernel::metrics& metrics)
     : m_own_name(own.name)
     , m_bounds(own.gateway->bounds)
+    , m_has_stable_placement(own.gateway->placement == kernel::placement_rule::stable)
     , m_actions(std::move(actions))
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
@@ -334,6 +335,7 @@
                              (request->sends > 0 || waited > region_wait_fraction * target);
     input.queue_per_slot = queue_per_slot(state.smoothed_run_seconds, target.count());
     input.servers_per_object = servers_per_object;
+    input.is_stable = m_has_stable_placement;
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -352,6 +354,8 @@
         count_assigned(*request, chosen.server ? *chosen.server : *chosen.preferred);
     if (!chosen.server)
         return false;
+    if (chosen.first && request->sends == 0)
+        count_move(*request, chosen);
     // A send takes a token if it was permitted to leave the region for lack of room. Without that
     // permission it goes to another region only because its object is placed there.
     if (input.may_leave_region && chosen.server->proximity == distance::other_region)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include "plugins/gateway/service_end.hpp"
 #include "plugins/gateway/spill.hpp"
 #include "plugins/gateway/weighted_round_robin.hpp"
+#include "plugins/placement/move_sample.hpp"
 
 #include <functional>
 #include <list>
@@ -62,6 +63,7 @@
     spill_state spill;
     /// Smoothed utilisation of the slots by distance.
     utilisation smoothed_utilisation;
+    placement::move_sample moves;
     served_counts served_in_region;
     served_counts served_outside;
     retry_allowance retries;
@@ -247,6 +249,10 @@
     void update_utilisation(std::string const& service,
                             service_state& state,
                             kernel::monotonic_time now);
+    /// Adapts the weights of the servers of a service to their load.
+    void update_weights(std::string const& service, kernel::monotonic_time now);
+    /// Counts the object of a request if it changes its server.
+    void count_move(gateway_request const& request, server_choice const& chosen);
     void end_expired(kernel::monotonic_time now);
     void record_broken_send(gateway_request const& request, kernel::monotonic_time now);
     void log_broken_run(gateway_request const& request, kernel::monotonic_time now);
@@ -280,6 +286,7 @@
     /// Number of regions in the settings.
     std::size_t m_region_count = 0;
     kernel::gateway_bounds m_bounds;
+    bool m_has_stable_placement = false;
     dispatcher_actions m_actions;
     kernel::metrics& m_metrics;
     kernel::log_limiter m_request_log;
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -352,6 +352,8 @@
             sums[nearest].slots += usable_slots(*server, state.smoothed_run_seconds);
         }
     }
+    if (m_has_stable_placement)
+        update_weights(service, now);
     // Waiting requests have no slot yet, but belong to the load of the nearest servers.
     for (auto& sum : sums)
         sum.load += static_cast<double>(state.waiting.size());
@@ -371,6 +373,58 @@
     decay(state.served_outside);
 }
 
+void dispatcher::update_weights(std::string const& service, kernel::monotonic_time now)
+{
+    // Servers that take fewer requests than they have room for say nothing of their load.
+    auto const is_measured = [this, now](known_server const& server)
+    {
+        return is_usable(m_servers, server) && is_open(server, now) && now >= server.cold_until &&
+               !server.limit;
+    };
+    std::map<std::string_view, load_sum> sums;
+    for (auto const& server : servers_of(m_servers, service))
+    {
+        if (!is_measured(*server))
+            continue;
+        auto& sum = sums[server->region];
+        sum.load += estimated_load(*server, now);
+        sum.slots += server->record.slots;
+    }
+    for (auto const& server : servers_of(m_servers, service))
+    {
+        auto const of_region = sums.find(server->region);
+        if (!is_measured(*server) || of_region == sums.end() || server->record.slots == 0)
+            continue;
+        placement::adapt(server->weight,
+                         {estimated_load(*server, now) / server->record.slots,
+                          of_region->second.load_per_slot().value_or(0)},
+                         now);
+    }
+}
+
+void dispatcher::count_move(gateway_request const& request, server_choice const& chosen)
+{
+    auto const cause = placement::record_placement(
+        state_of(request.service).moves,
+        {*request.affinity_key,
+         chosen.server->hash,
+         chosen.first->hash,
+         chosen.first->added_number,
+         m_servers.added_count},
+        [this](std::uint64_t hash)
+        {
+            auto const found = m_servers.by_hash.find(hash);
+            return found != m_servers.by_hash.end() && is_usable(m_servers, *found->second);
+        });
+    auto const count = [this](std::string_view name, std::string_view label)
+    {
+        m_metrics.find_counter(name, {"cause", label}).increment();
+    };
+    if (cause == placement::move_cause::none)
+        return;
+    count("pistachiohub_gateway_object_moves_total", placement::to_string(cause));
+}
+
 void dispatcher::start_spill_of(std::string const& service,
                                 service_state& state,
                                 kernel::monotonic_time now)
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -100,11 +100,12 @@
 }
 
 bool can_accept(known_server& server,
-                choice_input const& input,
+                kernel::monotonic_time now,
+                double queue_per_slot,
                 std::function<bool(known_server&)> const& admit_cold_request)
 {
-    return has_capacity(server, input.now, input.queue_per_slot) && is_open(server, input.now) &&
-           (input.now >= server.cold_until || admit_cold_request(server));
+    return has_capacity(server, now, queue_per_slot) && is_open(server, now) &&
+           (now >= server.cold_until || admit_cold_request(server));
 }
 
 // Returns the least loaded server with room, or null.
@@ -122,7 +123,7 @@
               });
     for (auto const& server : by_load)
     {
-        if (can_accept(*server, input, admit_cold_request))
+        if (can_accept(*server, input.now, input.queue_per_slot, admit_cold_request))
             return server;
     }
     return nullptr;
@@ -141,8 +142,7 @@
 // number of its slots times the weight of a slot at its distance.
 std::vector<server_pointer> rank_servers_of_object(tiers const& eligible,
                                                    gateway_request const& request,
-                                                   spill_state const& spill,
-                                                   std::size_t count)
+                                                   choice_input const& input)
 {
     std::array<double, distance_count> slots{};
     for (std::size_t index = 0; index < distance_count; ++index)
@@ -150,7 +150,7 @@
         for (auto const& server : eligible[index].servers)
             slots[index] += server->record.slots;
     }
-    auto const weights = weights_of(spill, {slots[0], slots[1], slots[2]});
+    auto const weights = weights_of(input.spill, {slots[0], slots[1], slots[2]});
     std::array<double, distance_count> const weight_of{
         weights.own_region, weights.own_region, weights.other_regions};
     std::vector<server_pointer> servers;
@@ -164,29 +164,50 @@
             servers.push_back(eligible[index].servers[member]);
             candidates.push_back(eligible[index].candidates[member]);
             candidates.back().weight *= weight_of[index];
+            if (input.is_stable)
+                candidates.back().weight *= servers.back()->weight.factor;
         }
     }
     std::vector<server_pointer> ranked;
-    for (auto const index : rank_by_affinity(*request.affinity_key, candidates, count))
+    for (auto const index :
+         rank_by_affinity(*request.affinity_key, candidates, input.servers_per_object))
         ranked.push_back(servers[index]);
     return ranked;
 }
 
+// Returns the requests that may wait for each slot of a server of the object. With stable placement
+// the second server takes what the first has no room for only in a free slot: a queue of cold runs
+// there would displace its own objects to their second servers in turn.
+double
+queue_of_ranked(known_server const& first, known_server const& server, choice_input const& input)
+{
+    // A cold first server refuses most requests whatever its queue. With more servers for each
+    // object the request would otherwise be refused.
+    if (!input.is_stable || input.now < first.cold_until ||
+        input.servers_per_object > max_servers_per_object)
+        return input.queue_per_slot;
+    if (&server != &first)
+        return 0;
+    return std::max(input.queue_per_slot,
+                    std::min(first_server_queue_factor * input.queue_per_slot,
+                             max_first_server_queue_per_slot));
+}
+
 server_choice choose_by_object(tiers const& eligible,
                                gateway_request const& request,
                                choice_input const& input,
                                std::function<bool(known_server&)> const& admit_cold_request)
 {
-    auto const ranked =
-        rank_servers_of_object(eligible, request, input.spill, input.servers_per_object);
+    auto const ranked = rank_servers_of_object(eligible, request, input);
     auto const& first = ranked.front();
     for (auto const& server : ranked)
     {
         if (is_permitted_distance(first->proximity, server->proximity, input) &&
-            can_accept(*server, input, admit_cold_request))
-            return {server, choice_failure::none, nullptr};
+            can_accept(
+                *server, input.now, queue_of_ranked(*first, *server, input), admit_cold_request))
+            return {server, choice_failure::none, nullptr, first};
     }
-    return {nullptr, choice_failure::no_room, first};
+    return {nullptr, choice_failure::no_room, first, first};
 }
 
 // Chooses the least loaded server at the distance `first`, or at the nearest permitted distance
@@ -204,9 +225,9 @@
                 static_cast<distance>(first), static_cast<distance>(candidate), input))
             continue;
         if (auto server = least_loaded(eligible[candidate], input, admit_cold_request))
-            return {std::move(server), choice_failure::none, nullptr};
+            return {std::move(server), choice_failure::none, nullptr, nullptr};
     }
-    return {nullptr, choice_failure::no_room, eligible[first].servers.front()};
+    return {nullptr, choice_failure::no_room, eligible[first].servers.front(), nullptr};
 }
 
 } // namespace
@@ -218,7 +239,7 @@
 {
     auto const eligible = collect_candidates(table, request, input.now);
     if (nearest_distance(eligible) == distance_count)
-        return {nullptr, choice_failure::no_server, nullptr};
+        return {nullptr, choice_failure::no_server, nullptr, nullptr};
     if (!request.affinity_key)
         return choose_by_load(eligible, first_distance(eligible, input), input, admit_cold_request);
     return choose_by_object(eligible, request, input, admit_cold_request);
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -20,6 +20,12 @@
 /// but better than none, and the displaced objects find room too.
 inline constexpr std::size_t max_servers_per_object_with_spare_slots = 4;
 
+/// Factor on the requests that may wait at the first server of an object with stable placement, and
+/// the largest number of them for each slot. A short wait at a server where the object is warm ends
+/// earlier than a cold run elsewhere.
+inline constexpr double first_server_queue_factor = 2;
+inline constexpr double max_first_server_queue_per_slot = 1;
+
 /// Inputs of one choice, in addition to the servers and the request.
 struct choice_input
 {
@@ -36,6 +42,9 @@
     double queue_per_slot = 0;
     /// Number of servers, in the ranking of the object, that may run the request.
     std::size_t servers_per_object = max_servers_per_object;
+    /// Whether the weights of the servers apply, and the first server of an object may have a
+    /// longer queue before another one is used.
+    bool is_stable = false;
     kernel::monotonic_time now;
 };
 
@@ -56,6 +65,8 @@
     choice_failure failure = choice_failure::none;
     /// For `no_room`: the server for a slot of which the request should wait.
     server_pointer preferred;
+    /// The first server in the ranking of the object; null for a request without an affinity key.
+    server_pointer first;
 };
 
 /// Chooses the backend server for the next send of a request. A request with an affinity key gets
--- a/plugins/gateway/server_table.cpp
+++ b/plugins/gateway/server_table.cpp
@@ -129,6 +129,7 @@
     auto server = std::make_shared<known_server>();
     server->record = record;
     server->hash = hash_text(record.id);
+    server->added_number = ++table.added_count;
     server->proximity = proximity_of(table, record);
     auto const region = table.region_of_domain.find(record.failure_domain);
     if (region != table.region_of_domain.end())
--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -8,6 +8,7 @@
 #include "libraries/fleet/backend_server.hpp"
 #include "libraries/routing/routing_table.hpp"
 #include "plugins/gateway/rate_limit.hpp"
+#include "plugins/placement/server_weight.hpp"
 
 #include <deque>
 #include <map>
@@ -51,6 +52,8 @@
     fleet::backend_server record;
     /// Hash of the server's id.
     std::uint64_t hash = 0;
+    /// Order in which the servers were added to the table, starting at 1.
+    std::uint64_t added_number = 0;
     /// Version of the registration object in the store.
     std::uint64_t version = 0;
     distance proximity = distance::other_region;
@@ -83,6 +86,8 @@
     /// Second of the monotonic clock in which `cold_sent` requests were sent to the cold server.
     std::int64_t cold_second = 0;
     double cold_sent = 0;
+    /// Weight for the placement of objects; used with the placement rule `stable` only.
+    placement::server_weight weight;
     /// Missing unless the server names a limit.
     std::optional<rate_limit> limit;
     /// Whether an unreadable notice of the server was logged.
@@ -114,6 +119,8 @@
     std::deque<server_pointer> removed_servers;
     /// When the store became reachable again after an outage.
     std::optional<kernel::monotonic_time> store_recovered_at;
+    /// Number of servers that were ever added.
+    std::uint64_t added_count = 0;
     /// Whether a complete list of the registered servers has been read.
     bool is_loaded = false;
 };
--- a/tests/placement/placement_fleet.cpp
+++ b/tests/placement/placement_fleet.cpp
@@ -17,11 +17,11 @@
 using std::chrono::seconds;
 
 constexpr auto observation_interval = seconds(2);
-constexpr auto warm_up = seconds(20);
-constexpr auto change_at = seconds(30);
+constexpr auto warm_up = seconds(40);
+constexpr auto change_at = seconds(50);
 // Between the change and the observation that is compared with the one before.
 constexpr auto settling = seconds(4);
-constexpr auto length = seconds(36);
+constexpr auto length = seconds(56);
 constexpr auto tick_interval = milliseconds(20);
 constexpr auto share_interval = milliseconds(200);
 constexpr auto network_delay = milliseconds(1);
@@ -136,6 +136,7 @@
         for (std::size_t number = 0; number < 2; ++number)
             own.gateway->region_of_domain[domain_name(region, number)] = region_name(region);
     }
+    own.gateway->placement = m_plan.rule;
     gateway::dispatcher_actions actions;
     actions.send = [this, &started](gateway::request_pointer const& request, milliseconds)
     {
--- a/tests/placement/placement_fleet.hpp
+++ b/tests/placement/placement_fleet.hpp
@@ -42,6 +42,7 @@
     double load = 0.9;
     std::chrono::milliseconds nominal_run{140};
     server_change change = server_change::none;
+    kernel::placement_rule rule = kernel::placement_rule::by_load;
 };
 
 /// Figures of one run.
