http: Repeat a request in the time that is left of the first

Cause: a GET on a kept-open connection that breaks is repeated with the whole connect and read timeouts, so a question to another host could take 960 + 360 + 960 ms with a bound of 3,000 ms, where 960 ms was counted. Change: one deadline for both sends. A call takes at most the read timeout on an open connection, and the connect timeout more on a new one.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 
 namespace pistachiohub::http
@@ -116,14 +117,14 @@
         return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    void connect()
+    void connect(kernel::monotonic_time deadline)
     {
         close();
         boost::system::error_code failure;
         auto const ip_address = asio::ip::make_address(address, failure);
         if (failure)
             throw never_sent(address + " is not an IP address");
-        stream.expires_after(limits.connect_timeout);
+        stream.expires_at(std::min(kernel::monotonic_now() + limits.connect_timeout, deadline));
         failure = await(
             [&](boost::system::error_code& result)
             {
@@ -205,12 +206,14 @@
         return result;
     }
 
-    response exchange(beast_request const& message, kernel::duration read_timeout)
+    response exchange(beast_request const& message,
+                      kernel::duration read_timeout,
+                      kernel::monotonic_time deadline)
     {
         refuse_when_cancelled();
         if (!is_usable())
-            connect();
-        stream.expires_after(read_timeout);
+            connect(deadline);
+        stream.expires_at(std::min(kernel::monotonic_now() + read_timeout, deadline));
         write(message);
         return read();
     }
@@ -232,10 +235,13 @@
 {
     auto& own = *m_implementation;
     auto const message = to_beast(wanted, own.address + ':' + std::to_string(own.port));
-    bool const may_repeat = wanted.method == "GET" && own.is_usable();
+    bool const is_open = own.is_usable();
+    bool const may_repeat = wanted.method == "GET" && is_open;
+    auto const deadline = kernel::monotonic_now() + read_timeout +
+                          (is_open ? kernel::duration{} : own.limits.connect_timeout);
     try
     {
-        return own.exchange(message, read_timeout);
+        return own.exchange(message, read_timeout, deadline);
     }
     catch (timed_out const&)
     {
@@ -250,7 +256,7 @@
         if (!may_repeat)
             throw;
     }
-    return own.exchange(message, read_timeout);
+    return own.exchange(message, read_timeout, deadline);
 }
 
 void client::disconnect()
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -104,7 +104,7 @@
     client& operator=(client const&) = delete;
 
     /// Sends a request and waits for the answer. A GET is repeated once when a connection that was
-    /// kept open turns out to be closed.
+    /// kept open turns out to be closed, in the time that is left of `read_timeout`.
     /// @throws never_sent, lost_answer, timed_out or cancelled.
     [[nodiscard]] response send(request const& wanted);
 
--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -250,6 +250,29 @@
     CHECK(std::stoi(told.substr(position + name.size())) >= age.count());
 }
 
+// Guards against the first read of a new reader that waits for a change on a connection which has
+// been idle: what it knows is as old as its former reader was permitted to tell.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_new_reader_asks_the_store_at_once_on_a_new_connection",
+                 "[discovery][concurrent]")
+{
+    support::raw_listener relay;
+    start("evacuation feed");
+    auto store = m_store.accept();
+    REQUIRE_FALSE(store.receive_message().empty());
+    choose_relay(relay);
+    answer(store, "200 OK", R"({"items": [], "has_more": false, "at": 5})");
+    auto asked = relay.accept();
+    REQUIRE_FALSE(asked.receive_message().empty());
+    m_context.shared<kernel::snapshot<fleet::relay_choice>>().publish(
+        std::make_shared<fleet::relay_choice const>());
+    answer(asked, "200 OK", R"({"revision": 6, "age_ms": 0, "objects": []})");
+    auto fresh = m_store.accept();
+    CHECK(fresh.receive_message().find("?watch=6&wait_ms=1 ") != std::string::npos);
+    CHECK(store.is_closed_by_peer());
+    CHECK(asked.is_closed_by_peer());
+}
+
 // Guards against changes that are missed when the store comes back from an older copy: it gives out
 // revisions again, so a watch from before goes on in another history without any sign but the
 // header.
