--- a/plugins/customer/readable_versions.cpp
+++ b/plugins/customer/readable_versions.cpp
@@ -71,7 +71,7 @@
         kept.push_back(*found->second);
         kept.back().keys = merge_keys(one, *found->second, listed);
     }
-    auto const names = names_of(kept);
+    auto names = names_of(kept);
     auto position = kept.begin();
     for (auto& one : *next.customers)
     {
--- a/standins/platform/backend_server.py
+++ b/standins/platform/backend_server.py
@@ -25,7 +25,8 @@
         self.free = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.warm = collections.OrderedDict()
-        self.runs = []  # (id, method, path, seconds, whether the object was warm)
+        # (id, method, path, seconds, whether the object was warm, name of the customer, whether it had a key)
+        self.runs = []
 
     async def register(self):
         await self.store.put("servers", self.identity, spec={
@@ -59,16 +60,18 @@
             self.waiting -= 1
             self.running += 1
             try:
-                await self.run(identity, method, path, message.headers.get("cookie", ""))
+                await self.run(identity, method, path, message.headers)
             finally:
                 self.running -= 1
         headers = {"X-Attempt-Id": identity, "X-Response-Signature": f"{self.identity}.{identity}",
                    "X-Backend-Load": self.load(), "Keep-Alive": "timeout=10"}
         return wire.make_message("HTTP/1.1 200 OK", headers, f"{identity} {path} ".encode() + message.body)
 
-    async def run(self, identity, method, path, cookie):
+    async def run(self, identity, method, path, headers):
+        cookie = headers.get("cookie", "")
         is_warm = cookie in self.warm
-        self.runs.append((identity, method, path, time.monotonic(), is_warm))
+        self.runs.append((identity, method, path, time.monotonic(), is_warm, headers.get("x-tenant", ""),
+                          "authorization" in headers))
         self.warm[cookie] = True
         self.warm.move_to_end(cookie)
         if len(self.warm) > WARM_OBJECTS:
--- a/standins/platform/caller.py
+++ b/standins/platform/caller.py
@@ -13,9 +13,10 @@
 class Caller:
     """Sends one request after the other from one failure domain."""
 
-    def __init__(self, name, host, region, zone, directories, seed):
+    def __init__(self, name, host, region, zone, directories, seed, key=None):
         self.name, self.host, self.region, self.zone = name, host, region, zone
         self.directories = directories
+        self.key = key
         self.random = random.Random(seed)
         self.addresses, self.kept_until = [], 0
         self.connection = None  # (address, reader, writer)
@@ -55,6 +56,8 @@
         path = f"{prefix}{self.random.randrange(8)}"
         headers = {"Host": self.host, "X-Attempt-Id": identity, "X-Deadline-Ms": DEADLINE_MS,
                    "Cookie": f"X-Affinity-Key={self.zone}{path}"}
+        if self.key is not None:
+            headers.update({"Authorization": f"Bearer {self.key}", "X-Tenant": "forged"})
         end, status = "no_connection", 0
         try:
             await self.connect()
--- a/tests/gateway/customers_wire_test.cpp
+++ b/tests/gateway/customers_wire_test.cpp
@@ -169,6 +169,60 @@
     CHECK(has_status(caller.receive_message(), "200"));
 }
 
+// Trailers end up among the headers. They must not reach a backend server as such either, and one
+// that holds another key must not replace the one of the head.
+TEST_CASE_METHOD(customer_wire_fixture,
+                 "gateway_trailers_name_neither_key_nor_customer",
+                 "[gateway][customer][concurrent]")
+{
+    start();
+    auto caller = connect();
+    auto const chunked = [](std::string const& id, std::string const& trailers)
+    {
+        return "POST /o/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+               "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer 2rry\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+               trailers + "\r\n";
+    };
+    caller.send(chunked("t1", "X-Tenant: forged\r\n"));
+    auto server = m_server.accept();
+    check_forwarded(server.receive_message());
+    server.send(answer_to("t1", "bytes"));
+    CHECK(has_status(caller.receive_message(), "200"));
+    caller.send(chunked("t2", "Authorization: Bearer forged\r\n"));
+    CHECK(has_status(caller.receive_message(), "401"));
+}
+
+// A name that is not the header's for one reader could be for the next.
+TEST_CASE_METHOD(customer_wire_fixture,
+                 "gateway_malformed_customer_header_is_not_forwarded",
+                 "[gateway][customer][concurrent]")
+{
+    start();
+    // A line that begins with a space continues the one before: here the key.
+    auto const [header, status] =
+        GENERATE(table<std::string, std::string>({{"X-Tenant : forged\r\n", "400"},
+                                                  {"X-Tenant\t: forged\r\n", "400"},
+                                                  {" X-Tenant: forged\r\n", "401"},
+                                                  {"X-Own: 1\r\n X-Tenant: forged\r\n", "200"},
+                                                  {"X-Tenant:\r\n forged\r\n", "200"}}));
+    auto caller = connect();
+    caller.send(get("r1", "Authorization: Bearer 2rry\r\n" + header));
+    if (status != "200")
+    {
+        CHECK(has_status(caller.receive_message(), status));
+        CHECK_FALSE(m_server.has_connection(0));
+        return;
+    }
+    auto server = m_server.accept();
+    auto const received = server.receive_message();
+    CHECK(received.find("\r\nX-Tenant: cuka620\r\n") != std::string::npos);
+    CHECK(count(received, "\r\nX-Tenant") == 1);
+    CHECK(received.find("2rry") == std::string::npos);
+    server.send(answer_to("r1", "bytes"));
+    CHECK(has_status(caller.receive_message(), "200"));
+}
+
 TEST_CASE_METHOD(customer_wire_fixture,
                  "gateway_removed_key_is_401_and_the_next_one_is_served",
                  "[gateway][customer][concurrent]")
