--- a/tests/programs.cmake
+++ b/tests/programs.cmake
@@ -54,7 +54,7 @@
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --restore --base-port 32600)
   set_tests_properties(demo_platform_restored PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
   add_test(NAME demo_platform_customers
-    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --customers --base-port 32800)
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/meta/demo-platform --customers --base-port 32300)
   set_tests_properties(demo_platform_customers PROPERTIES RUN_SERIAL TRUE TIMEOUT 60)
   add_test(NAME soak
     COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/soak/soak --seed 1 --seconds 8 --base-port 32700)
