gateway: Exchange and apply the quotas of customers

Cause: rate_per_s and burst limit a customer over all hosts; a request over the quota gets 429.

Readers follow from the grouping of choose_relay(), which is now shared with other_readers(). The dispatcher refuses over_quota before queueing, and returns the token of a request that has not run. Nothing is sent where no customer has a limit.

Exchange between real processes: not run.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -148,6 +148,7 @@
     , m_actions(std::move(actions))
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
+    , m_quotas(m_bounds, metrics)
 {
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
@@ -252,6 +253,8 @@
     auto& state = state_of(request->service);
     if (!can_end_in_service(*request, now))
         return refuse(request, refusal::leaving, now);
+    if (!m_quotas.try_admit(*request, now))
+        return refuse(request, refusal::over_quota, now);
     if (!state.spill.is_started)
         start_spill_of(request->service, state, now);
     record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
@@ -598,6 +601,8 @@
     auto const reported_cause = request->may_have_run ? refusal::broken_off : cause;
     auto response = make_refusal(reported_cause, std::nullopt);
     constexpr unsigned not_run = 503;
+    if (reported_cause == refusal::over_quota)
+        response = make_refusal(reported_cause, request->quota_wait);
     if (response.status == not_run)
         response =
             make_refusal(reported_cause,
@@ -634,6 +639,8 @@
     assert(request.state != request_state::ended);
     set_awaited_server(request, nullptr);
     request.state = request_state::ended;
+    if (known_outcome(request) == outcome::not_run)
+        m_quotas.give_back(request);
     --m_open_requests;
     // A request that was refused before it had a service concerns no backend server and is not
     // settled.
@@ -755,6 +762,7 @@
 {
     if (!is_starting())
         release_held(now);
+    m_quotas.tick(m_table, m_bounds, m_sharing_hosts.size(), now);
     end_expired(now);
     log_lost_servers(remove_expired(m_servers, now), "missing_after_outage");
     for (auto const& domain : end_lost_evacuations(m_servers, now))
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "kernel/settings.hpp"
 #include "libraries/interface/interface.hpp"
 #include "plugins/gateway/crash_watch.hpp"
+#include "plugins/gateway/customer_quotas.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 #include "plugins/gateway/refusal.hpp"
 #include "plugins/gateway/request.hpp"
@@ -136,6 +137,12 @@
         return m_servers;
     }
 
+    /// @returns the quotas of customers, for the exchange with other daemons.
+    [[nodiscard]] customer_quotas& quotas()
+    {
+        return m_quotas;
+    }
+
     /// @returns whether requests can be served.
     [[nodiscard]] bool is_ready() const
     {
@@ -284,6 +291,7 @@
     kernel::metrics& m_metrics;
     kernel::log_limiter m_request_log;
 
+    customer_quotas m_quotas;
     crash_watch m_crashes;
     fleet::crash_knowledge m_published_crashes;
     bool m_has_restored_reports = false;
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -1,6 +1,8 @@
 #include "plugins/gateway/entry_hosts.hpp"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <tuple>
 
 namespace pistachiohub::gateway
@@ -58,19 +60,48 @@
                   });
 }
 
-/// @returns this host and the live hosts that have the same value of `attribute` and offer a relay.
-std::vector<fleet::entry_host const*> select_group(host_table const& table,
-                                                   kernel::monotonic_time now,
-                                                   std::string fleet::entry_host::*attribute)
+using host_group = std::vector<fleet::entry_host const*>;
+
+/// This host and the live hosts that offer a relay, by failure domain and by region.
+struct host_groups
+{
+    std::map<std::string_view, host_group> by_domain;
+    std::map<std::string_view, host_group> by_region;
+};
+
+host_groups make_groups(host_table const& table, kernel::monotonic_time now)
 {
-    std::vector<fleet::entry_host const*> group{&table.own};
+    host_group all{&table.own};
     for (auto const& [name, host] : table.hosts)
     {
-        if (host.record.*attribute == table.own.*attribute && host.record.relay_port != 0 &&
-            is_live(table, host, now))
-            group.push_back(&host.record);
+        if (host.record.relay_port != 0 && is_live(table, host, now))
+            all.push_back(&host.record);
+    }
+    std::sort(all.begin(),
+              all.end(),
+              [](fleet::entry_host const* left, fleet::entry_host const* right)
+              {
+                  return std::tie(left->failure_domain, left->name) <
+                         std::tie(right->failure_domain, right->name);
+              });
+    host_groups groups;
+    for (auto const* const host : all)
+    {
+        groups.by_domain[host->failure_domain].push_back(host);
+        groups.by_region[host->region].push_back(host);
     }
-    return group;
+    return groups;
+}
+
+/// @returns the reader of the group of `host`, which is one of the hosts of `groups`.
+fleet::entry_host const& reader_of(host_groups const& groups, fleet::entry_host const& host)
+{
+    auto const& in_domain = groups.by_domain.at(host.failure_domain);
+    auto const& group =
+        in_domain.size() < min_domain_group_size ? groups.by_region.at(host.region) : in_domain;
+    auto const own = std::find(group.begin(), group.end(), &host) - group.begin();
+    auto const position = static_cast<std::size_t>(own);
+    return *group[position - position % max_hosts_per_reader];
 }
 
 // A host that reads the store for followers lists them in its report, which confirms that they
@@ -180,23 +211,30 @@
 
 fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now)
 {
-    auto group = select_group(table, now, &fleet::entry_host::failure_domain);
-    if (group.size() < min_domain_group_size)
-        group = select_group(table, now, &fleet::entry_host::region);
-    auto const comes_before = [](fleet::entry_host const* left, fleet::entry_host const* right)
-    {
-        return std::tie(left->failure_domain, left->name) <
-               std::tie(right->failure_domain, right->name);
-    };
-    std::sort(group.begin(), group.end(), comes_before);
-    auto const own = std::find(group.begin(), group.end(), &table.own) - group.begin();
-    auto const position = static_cast<std::size_t>(own);
-    auto const& reader = *group[position - position % max_hosts_per_reader];
+    auto const& reader = reader_of(make_groups(table, now), table.own);
     if (&reader == &table.own)
         return {};
     return {reader.name, {reader.callers.address, reader.relay_port}};
 }
 
+std::vector<fleet::relay_choice> other_readers(host_table const& table, kernel::monotonic_time now)
+{
+    auto const groups = make_groups(table, now);
+    std::set<fleet::entry_host const*> readers;
+    for (auto const& [domain, hosts] : groups.by_domain)
+    {
+        for (auto const* const host : hosts)
+            readers.insert(&reader_of(groups, *host));
+    }
+    std::vector<fleet::relay_choice> others;
+    for (auto const* const reader : readers)
+    {
+        if (reader != &table.own)
+            others.push_back({reader->name, {reader->callers.address, reader->relay_port}});
+    }
+    return others;
+}
+
 double fraction_of_hosts_in_region(host_table const& table, std::size_t regions)
 {
     if (!table.is_loaded)
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -95,6 +95,11 @@
 /// @returns an empty choice if this daemon is the reader of its group.
 [[nodiscard]] fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now);
 
+/// @returns the readers of all groups except this daemon, by the same grouping as choose_relay().
+/// Daemons may disagree on them for a time.
+[[nodiscard]] std::vector<fleet::relay_choice> other_readers(host_table const& table,
+                                                             kernel::monotonic_time now);
+
 /// @returns the fraction of the registered hosts that are in this daemon's region, which estimates
 /// the fraction of the callers there. Hosts without recent reports count too, because after a loss
 /// of power no host has reported yet.
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -93,6 +93,7 @@
         , m_answer_memory{share_of_memory(m_settings.resources, answer_share_of_memory)}
         , m_timer(m_loop.context())
         , m_dispatcher(context.own_settings(), make_actions(), context.own_metrics())
+        , m_quota_exchange(context.own_settings().name, m_dispatcher.quotas().ledger())
         , m_pool(m_loop,
                  context.own_metrics(),
                  m_interface.headers,
@@ -114,6 +115,8 @@
         if (m_settings.relay.port != 0)
             m_load_exchange = std::make_unique<load_exchange>(
                 m_loop, context.own_metrics(), m_settings.relay, m_dispatcher.servers());
+        if (m_load_exchange)
+            m_load_exchange->share_quotas(m_quota_exchange);
         context.on_drain(
             [this]()
             {
@@ -414,6 +417,7 @@
             begin_drain();
         m_pool.sweep(kernel::monotonic_now());
         publish_relay(choose_relay(m_dispatcher.hosts(), kernel::monotonic_now()));
+        update_quota_readers();
         auto const* const changed = m_reloaded_settings.get();
         if (changed == nullptr || changed == m_applied_settings || !changed->gateway)
             return;
@@ -422,6 +426,20 @@
         m_dispatcher.set_bounds(changed->gateway->bounds);
     }
 
+    void update_quota_readers()
+    {
+        if (!m_load_exchange || m_dispatcher.quotas().ledger().accounts.empty())
+            return;
+        auto const now = kernel::monotonic_now();
+        std::vector<quota_peer> others;
+        if (m_relay.host.empty())
+        {
+            for (auto const& reader : other_readers(m_dispatcher.hosts(), now))
+                others.push_back({reader.host, reader.address});
+        }
+        m_quota_exchange.set_readers({m_relay.host, m_relay.address}, others, now);
+    }
+
     void publish_relay(fleet::relay_choice&& chosen)
     {
         if (chosen == m_relay)
@@ -522,6 +540,7 @@
     boost::asio::steady_timer m_timer;
     std::optional<kernel::monotonic_time> m_timer_expiry;
     dispatcher m_dispatcher;
+    quota_exchange m_quota_exchange;
     server_connection_pool m_pool;
     caller_server m_caller_server;
     std::unique_ptr<http::server> m_readiness;
--- a/plugins/gateway/load_exchange.cpp
+++ b/plugins/gateway/load_exchange.cpp
@@ -82,6 +82,15 @@
 
 void load_exchange::handle_datagram(std::string_view datagram, kernel::monotonic_time now)
 {
+    if (m_quotas != nullptr && is_quota_datagram(datagram))
+    {
+        bool const is_read = m_quotas->receive(datagram, m_sender, now);
+        m_metrics
+            .find_counter("pistachiohub_gateway_quota_datagrams_total",
+                          {"result", is_read ? "read" : "malformed"})
+            .increment();
+        return;
+    }
     auto const loads = decode_loads(datagram);
     m_metrics
         .find_counter("pistachiohub_gateway_load_datagrams_total",
@@ -98,6 +107,13 @@
 
 void load_exchange::publish(kernel::monotonic_time now)
 {
+    if (m_quotas != nullptr)
+        m_quotas->publish(
+            [this](std::vector<std::string> const& datagrams, endpoint const& to)
+            {
+                send(datagrams, to);
+            },
+            now);
     if (m_reader)
         publish_to_reader(now);
     else
--- a/plugins/gateway/load_exchange.hpp
+++ b/plugins/gateway/load_exchange.hpp
@@ -7,6 +7,7 @@
 #include "kernel/event_loop.hpp"
 #include "kernel/metrics.hpp"
 #include "plugins/gateway/load_report.hpp"
+#include "plugins/gateway/quota_exchange.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -41,6 +42,13 @@
     /// @param reader address of the reader; with port 0 this daemon itself is the reader.
     void set_reader(kernel::endpoint const& reader, kernel::monotonic_time now);
 
+    /// Exchanges quotas too.
+    /// @param quotas must outlive the exchange.
+    void share_quotas(quota_exchange& quotas)
+    {
+        m_quotas = &quotas;
+    }
+
 private:
     using endpoint = boost::asio::ip::udp::endpoint;
 
@@ -53,6 +61,8 @@
 
     kernel::metrics& m_metrics;
     server_table& m_table;
+    /// Null if no quotas are exchanged.
+    quota_exchange* m_quotas = nullptr;
     boost::asio::ip::udp::socket m_socket;
     /// The daemon to which loads are sent; empty if this daemon is the reader.
     std::optional<endpoint> m_reader;
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -45,6 +45,10 @@
     routing::route const* route = nullptr;
     /// The customer that holds the request's key; null without one. Part of `table`.
     routing::customer const* customer = nullptr;
+    /// Whether a token of the customer's quota was taken for it.
+    bool has_quota_token = false;
+    /// After which time the caller may retry, if the request is over the quota.
+    std::chrono::milliseconds quota_wait{0};
     std::string service;
     /// Hash of the object's key, for routes with affinity; empty if the caller sent no key.
     std::optional<std::uint64_t> affinity_key;
--- a/plugins/quota/quota.cpp
+++ b/plugins/quota/quota.cpp
@@ -19,9 +19,6 @@
 // The same for the admissions of the others. It must follow a demand that jumps, and not the
 // random variation of small customers.
 constexpr double admission_smoothing_seconds = 0.5;
-// Time over which tokens above 0 or debts are given out; about twice the delay of the exchange,
-// below which the correction oscillates.
-constexpr double correction_seconds = 1;
 // Usual delay of totals over follower, reader, reader and follower: half an interval per hop.
 constexpr double exchange_delay_seconds = 0.35;
 // Time for which a host may save up its share.
@@ -163,14 +160,8 @@
 {
     auto const share = share_of(state, customer, view);
     auto const rate = target_rate(state, customer.limit);
-    if (view.age >= silent_reader_age)
-        return share * rate;
-    auto correction = state.parts.corrects_share
-                          ? expected_fleet_tokens(state, customer, view) / correction_seconds
-                          : 0.0;
-    if (view.age >= fresh_view_age)
-        correction = std::min(correction, 0.0);
-    return share * std::max(0.0, rate * usable_fraction(state, view) + correction);
+    // The conservative share is one of all hosts, so that it is not reduced to those heard.
+    return share * rate * (view.age >= silent_reader_age ? 1 : usable_fraction(state, view));
 }
 
 void fill(ledger const& state,
--- a/plugins/quota/quota.hpp
+++ b/plugins/quota/quota.hpp
@@ -40,8 +40,6 @@
     bool starts_empty = true;
     /// A host may save up one request, however small its share is.
     bool saves_whole_request = true;
-    /// Tokens above 0 or debts raise or lower the shares.
-    bool corrects_share = true;
 };
 
 /// Limits of one customer over all hosts.
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace pistachiohub
 {
@@ -435,6 +436,24 @@
     CHECK(gateway::choose_relay(m_table, m_now).host == "b");
 }
 
+// Guards against readers that exchange totals with hosts that are no readers, or miss a reader.
+TEST_CASE_METHOD(host_table_fixture, "relay_other_readers_are_the_first_of_each_group", "[gateway]")
+{
+    CHECK(gateway::other_readers(m_table, m_now).empty());
+    for (auto const* const name : {"a", "b", "z"})
+        add_live_host(name, "sve-a");
+    for (int number = 10; number < 30; ++number)
+        add_live_host("g" + std::to_string(number), "got-a");
+    std::set<std::string> names;
+    for (auto const& reader : gateway::other_readers(m_table, m_now))
+    {
+        CHECK(reader.address.port == relay_port);
+        names.insert(reader.host);
+    }
+    CHECK(names.contains(gateway::choose_relay(m_table, m_now).host));
+    CHECK(names == std::set<std::string>{"a", "g10", "g26"});
+}
+
 TEST_CASE_METHOD(host_table_fixture, "relay_small_domain_joins_its_region", "[gateway]")
 {
     add_live_host("x", "sve-0");
--- a/tests/quota/quota_fleet_test.cpp
+++ b/tests/quota/quota_fleet_test.cpp
@@ -90,6 +90,42 @@
     CHECK(quota_test::play(plan, seed).use_of_cut_off > 0.5);
 }
 
+// Shows that the invariants above fail when a part of the design is off.
+TEST_CASE("quota_parts_of_the_design_are_needed", "[quota]")
+{
+    auto plan = plan_of(60, jump_factor);
+    plan.parts.enforces_share = false;
+    CHECK(quota_test::play(plan, seed).largest_excess > 0);
+
+    plan = plan_of(60, jump_factor);
+    plan.jump_at = 10;
+    plan.kind = fault::cut_off;
+    plan.parts.reserves_for_silent_hosts = false;
+    CHECK(quota_test::play(plan, seed).largest_excess > 0);
+
+    plan = plan_of(60, twofold);
+    plan.jumps_at_one_host = true;
+    plan.parts.shares_follow_demand = false;
+    CHECK(quota_test::play(plan, seed).least_use < least_use);
+}
+
+// Guards against hosts that overspend when half of them are cut off just after a jump.
+TEST_CASE("quota_holds_while_half_of_the_hosts_are_cut_off", "[.][quota_seeds]")
+{
+    auto plan = plan_of(GENERATE(3, 60, 300), jump_factor);
+    plan.kind = fault::cut_off;
+    plan.faulty_part = 0.5;
+    CHECK(quota_test::play(plan, seed).largest_excess <= 0);
+}
+
+// Guards against hosts that refuse callers below their limit while a fifth of the hosts fail.
+TEST_CASE("quota_refuses_no_customer_below_its_limit_while_hosts_fail", "[.][quota_seeds]")
+{
+    auto plan = plan_of(60, 1);
+    plan.kind = GENERATE(fault::cut_off, fault::restarted, fault::suspended);
+    CHECK(refused_part(quota_test::play(plan, seed)) <= most_refused);
+}
+
 // The longer run, started by hand: all sizes and several seeds.
 TEST_CASE("quota_invariants_hold_with_many_seeds", "[.][quota_seeds]")
 {
