--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -4,8 +4,27 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
+namespace pistachiohub::kernel
+{
+
+namespace
+{
+
+// Link bandwidth on which a full processor share of requests needs no more.
+constexpr double link_mbps_of_full_core = 100;
+
+} // namespace
+
+double serving_capacity(host_resources const& resources)
+{
+    return std::min(resources.processor, resources.link_mbps / link_mbps_of_full_core);
+}
+
+} // namespace pistachiohub::kernel
+
 namespace pistachiohub::kernel::detail
 {
 
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -60,6 +60,10 @@
     double link_mbps = 1000;
 };
 
+/// @returns the weight of a host among the others: its share of a core, or less if its link is too
+/// narrow for the requests of that share.
+[[nodiscard]] double serving_capacity(host_resources const& resources);
+
 /// How the backend server of an object is chosen among those that rank first for it.
 enum class placement_rule
 {
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -29,8 +29,6 @@
 constexpr auto check_interval = milliseconds(250);
 // Pause after a failed report to a restored store, which all hosts write to at the same time.
 constexpr auto restored_report_pause = milliseconds(1000);
-// Link bandwidth on which a full processor share of requests needs no more.
-constexpr double link_mbps_of_full_core = 100;
 
 http::client_limits make_limits()
 {
@@ -50,8 +48,7 @@
     host.failure_domain = own.failure_domain;
     host.region = gateway.region;
     host.incarnation = incarnation;
-    host.capacity =
-        std::min(gateway.resources.processor, gateway.resources.link_mbps / link_mbps_of_full_core);
+    host.capacity = kernel::serving_capacity(gateway.resources);
     return host;
 }
 
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -156,6 +156,7 @@
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
     , m_contact(customer::make_contact(m_bounds))
+    , m_quotas(m_bounds, metrics)
 {
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
@@ -169,6 +170,7 @@
     m_hosts.own.callers = own.gateway->callers;
     m_hosts.own.failure_domain = own.failure_domain;
     m_hosts.own.region = own.gateway->region;
+    m_hosts.own.capacity = kernel::serving_capacity(own.gateway->resources);
 }
 
 void dispatcher::set_awaited_server(gateway_request& request, server_pointer const& server)
@@ -262,6 +264,8 @@
     auto& state = state_of(request->service);
     if (!can_end_in_service(*request, now))
         return refuse(request, refusal::leaving, now);
+    if (!m_quotas.try_admit(*request, now))
+        return refuse(request, refusal::over_quota, now);
     if (!state.spill.is_started)
         start_spill_of(request->service, state, now);
     record_request(state.retries, {m_bounds.retry_ratio, 0, m_bounds.retry_window}, now);
@@ -615,6 +619,8 @@
     auto const reported_cause = request->may_have_run ? refusal::broken_off : cause;
     auto response = make_refusal(reported_cause, std::nullopt);
     constexpr unsigned not_run = 503;
+    if (reported_cause == refusal::over_quota)
+        response = make_refusal(reported_cause, request->quota_wait);
     if (response.status == not_run)
         response = make_refusal(reported_cause, retry_after(*request, cause, now));
     m_metrics
@@ -654,6 +660,8 @@
     assert(request.state != request_state::ended);
     set_awaited_server(request, nullptr);
     request.state = request_state::ended;
+    if (known_outcome(request) == outcome::not_run)
+        m_quotas.give_back(request);
     --m_open_requests;
     // A request that was refused before it had a service concerns no backend server and is not
     // settled.
@@ -775,6 +783,7 @@
 {
     if (!is_starting())
         release_held(now);
+    m_quotas.tick(m_table, m_bounds, m_sharing_hosts.size(), now);
     end_expired(now);
     log_lost_servers(remove_expired(m_servers, now), "missing_after_outage");
     for (auto const& domain : end_lost_evacuations(m_servers, now))
