admission: Decide who gets a free slot, and refuse early what would start too late

Cause: Waiting requests were ordered by route priority and arrival, so that a customer that sends more got more. All requests without an object waited for the first server of the list, which made the queue useless and refused nearly everything on arrival. A waiting request was refused only when its target latency had passed. Retry-After was a jittered constant of 100 ms in practice. The predicted start uses the work of a request without its wait at the server, its deviation, and a learned factor for slots that other hosts take. A new request no longer overtakes those that wait. This affects deployments without customers: queueing, refusal and Retry-After.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -24,23 +24,12 @@
 constexpr auto waiting_poll_interval = milliseconds(20);
 // Weight of the newest sample in the moving average of the run time.
 constexpr double smoothing_factor = 0.2;
-// Maximum number of waiting requests of one service; bounds the memory and the time of one pass.
-constexpr std::size_t max_waiting = 512;
-// Number of waiting requests without room after which a pass over the queue stops.
-constexpr std::size_t max_blocked_per_pass = 48;
+// Maximum number of requests that wait for the first configuration; bounds the memory.
+constexpr std::size_t max_held = 512;
 // Fractions of the target latency for which a request waits for the servers of its object before it
 // may use one of another failure domain or region.
 constexpr double domain_wait_fraction = 0.5;
 constexpr double region_wait_fraction = 0.6;
-// Fraction of the target latency that a request may wait in a server's own queue. The server fills
-// a released slot from its queue at once, while daemons learn of the slot later and compete for it.
-constexpr double max_server_queue_fraction = 0.25;
-// Upper limit of the requests that may wait at a server for each slot. The queues of the servers
-// hold a few times as many.
-constexpr double max_queue_per_slot = 1;
-// Fraction of the target latency within which a request must be expected to start when it is
-// queued. The rest is for its run.
-constexpr double max_wait_fraction = 0.6;
 // Time before the deadline of the caller by which the answer is sent, so that the caller can read
 // it.
 constexpr auto answer_margin = milliseconds(25);
@@ -52,41 +41,16 @@
 // read them within 0.1 to 0.3 s, and a caller that is refused may find the next host restarting
 // too.
 constexpr auto max_hold = milliseconds(400);
-// Utilisation of the region's servers below which an object may use more of them. It is below the
-// threshold at which objects leave the region, so that copies do not drive them out.
-constexpr double spare_slots_threshold = 0.7;
-// Remaining time below which a request is not sent, because no backend server could answer in time.
-constexpr auto min_run_time = milliseconds(20);
-constexpr auto min_retry_after = milliseconds(100);
-constexpr auto max_retry_after = milliseconds(2000);
 // Number of missed heartbeats after which the registration of a server lapses.
 constexpr int heartbeats_until_lapse = 3;
 // Limit of log lines per second for requests, whether they were served or not.
 constexpr double request_log_lines_per_second = 100;
 
-// Orders waiting requests by priority and then by arrival.
-bool comes_before(request_pointer const& left, request_pointer const& right)
-{
-    if (left->route->priority != right->route->priority)
-        return left->route->priority < right->route->priority;
-    return left->arrived_at < right->arrived_at;
-}
-
 std::int64_t ms_between(kernel::monotonic_time from, kernel::monotonic_time to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
-// Returns the requests that may wait at a server for each of its slots.
-double queue_per_slot(double smoothed_run_seconds, double target_seconds)
-{
-    // The run time is unknown before the first answer, and all servers are cold then.
-    if (smoothed_run_seconds <= 0)
-        return 0;
-    return std::min(max_server_queue_fraction * target_seconds / smoothed_run_seconds,
-                    max_queue_per_slot);
-}
-
 server_failure failure_of(attempt_end const& end)
 {
     constexpr unsigned misdirected = 421;
@@ -105,12 +69,6 @@
     return !name.empty() && (service == nullptr || service->is_readable);
 }
 
-bool has_spare_slots(service_state const& state)
-{
-    auto const& in_region = state.smoothed_utilisation.own_region;
-    return in_region && *in_region < spare_slots_threshold;
-}
-
 bool is_error(unsigned status)
 {
     constexpr unsigned first_error = 400;
@@ -186,7 +144,7 @@
 void dispatcher::begin(request_pointer const& request, kernel::monotonic_time now)
 {
     ++m_open_requests;
-    if (is_starting() && m_held.size() < max_waiting)
+    if (is_starting() && m_held.size() < max_held)
         return hold(request);
     admit(request, now);
 }
@@ -250,6 +208,7 @@
     m_deadlines.emplace(request->answer_deadline, request);
     m_deadlines.emplace(request->give_up_at, request);
     auto& state = state_of(request->service);
+    record_asked(*request, now);
     if (!can_end_in_service(*request, now))
         return refuse(request, refusal::leaving, now);
     if (!state.spill.is_started)
@@ -286,14 +245,6 @@
         record_failed_run(history, now - request.sent_at, now);
 }
 
-void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
-{
-    // attempt_ended() offers a released slot to the waiting requests at once, so that a new request
-    // finds only what they left. The queue is ordered by priority.
-    if (!try_send(request, now) && request->state != request_state::ended)
-        enqueue(request, now);
-}
-
 bool dispatcher::admit_cold_request(known_server& server, kernel::monotonic_time now)
 {
     auto const* const service = routing::find_service(*m_table, server.record.service);
@@ -368,6 +319,7 @@
     request->is_answer_whole = false;
     request->sent_at = now;
     ++request->sends;
+    record_started(*request, now);
     request->tried_servers.push_back(request->server->record.id);
     ++request->server->own_in_flight;
     if (request->server->limit)
@@ -384,58 +336,6 @@
     m_actions.send(request, milliseconds(remaining));
 }
 
-void dispatcher::enqueue(request_pointer const& request, kernel::monotonic_time now)
-{
-    auto& state = state_of(request->service);
-    assert(request->awaited_server);
-    // The request is already counted as waiting, but does not wait for itself.
-    --request->awaited_server->own_queued;
-    auto wait_seconds = expected_finish(*request->awaited_server,
-                                        state.smoothed_run_seconds,
-                                        request->awaited_server->own_queued,
-                                        now)
-                            .start;
-    ++request->awaited_server->own_queued;
-    if (auto const& limit = request->awaited_server->limit)
-        wait_seconds = std::max(wait_seconds, seconds_until_permitted(*limit, now));
-    wait_seconds =
-        std::max(wait_seconds, seconds_value(request->awaited_server->paused_until - now).count());
-    auto const waited = seconds_value(now - request->arrived_at).count();
-    auto const target = seconds_value(request->route->target_latency).count();
-    bool const has_time = now + min_run_time < request->answer_deadline;
-    bool const can_wait = state.waiting.size() < max_waiting &&
-                          waited + wait_seconds <= max_wait_fraction * target && has_time;
-    if (!can_wait)
-    {
-        bool const is_sent = has_time && has_spare_slots(state) &&
-                             try_send(request, now, max_servers_per_object_with_spare_slots);
-        // The attempt to send it may have refused it for another cause.
-        if (!is_sent && request->state != request_state::ended)
-            refuse(request, refusal::no_room, now);
-        return;
-    }
-    request->state = request_state::waiting;
-    state.waiting.insert(
-        std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before),
-        request);
-}
-
-void dispatcher::send_waiting(std::string const& service, kernel::monotonic_time now)
-{
-    auto& state = state_of(service);
-    std::size_t blocked = 0;
-    for (auto next = state.waiting.begin();
-         next != state.waiting.end() && blocked < max_blocked_per_pass;)
-    {
-        auto const request = *next;
-        // Sending or refusing the request does not change the list, so the iterator stays valid.
-        bool const has_left_queue =
-            try_send(request, now) || request->state == request_state::ended;
-        next = has_left_queue ? state.waiting.erase(next) : std::next(next);
-        blocked += has_left_queue ? 0 : 1;
-    }
-}
-
 void dispatcher::release_slot(request_pointer const& request)
 {
     assert(request->server && request->server->own_in_flight > 0);
@@ -475,6 +375,7 @@
             seconds_value(request->stream_began_at.value_or(now) - request->sent_at).count();
         state.smoothed_run_seconds += (state.smoothed_run_seconds == 0 ? 1 : smoothing_factor) *
                                       (run_seconds - state.smoothed_run_seconds);
+        record_work(*request, run_seconds);
     }
     else
     {
@@ -596,43 +497,6 @@
         send_waiting(service, now);
 }
 
-void dispatcher::refuse(request_pointer const& request, refusal cause, kernel::monotonic_time now)
-{
-    // Status 503 promises that the request did not run in this send or any earlier one.
-    auto const reported_cause = request->may_have_run ? refusal::broken_off : cause;
-    auto response = make_refusal(reported_cause, std::nullopt);
-    constexpr unsigned not_run = 503;
-    if (response.status == not_run)
-        response =
-            make_refusal(reported_cause,
-                         cause == refusal::unreadable_configuration ? max_retry_after
-                                                                    : retry_after(*request, now));
-    m_metrics
-        .find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(reported_cause)})
-        .increment();
-    finish(request, std::move(response), to_string(cause), now);
-}
-
-milliseconds dispatcher::retry_after(gateway_request const& request, kernel::monotonic_time now)
-{
-    auto const& state = state_of(request.service);
-    auto const running = static_cast<double>(std::max<std::size_t>(state.running, 1));
-    auto const expected_wait =
-        (static_cast<double>(state.waiting.size()) + 1) * state.smoothed_run_seconds / running;
-    // Jitter spreads the retries of callers that were refused together over the time in which slots
-    // are released.
-    auto const jittered_wait = expected_wait * (0.5 + m_actions.random());
-    auto const wait =
-        std::clamp(std::chrono::duration_cast<milliseconds>(seconds_value(jittered_wait)),
-                   min_retry_after,
-                   max_retry_after);
-    if (!request.awaited_server)
-        return wait;
-    // Whoever comes back during the pause of the server is refused again.
-    return std::max(wait,
-                    std::chrono::ceil<milliseconds>(request.awaited_server->paused_until - now));
-}
-
 void dispatcher::end_request(gateway_request& request)
 {
     assert(request.state != request_state::ended);
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "kernel/metrics.hpp"
 #include "kernel/settings.hpp"
 #include "libraries/interface/interface.hpp"
+#include "plugins/admission/admission.hpp"
 #include "plugins/gateway/crash_watch.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 #include "plugins/gateway/refusal.hpp"
@@ -56,6 +57,10 @@
     std::function<double()> random;
 };
 
+/// Remaining time below which a request is not sent, because no backend server could answer in
+/// time.
+inline constexpr auto min_run_time = std::chrono::milliseconds(20);
+
 /// State of the dispatcher for one service.
 struct service_state
 {
@@ -67,12 +72,16 @@
     retry_allowance retries;
     /// Smoothed time from sending a request to its answer, in seconds; 0 before the first.
     double smoothed_run_seconds = 0;
+    /// The same without the expected wait at the server and without the slowdown of its machine.
+    admission::work_estimate work;
     /// Longest recent runs by route: the requests of one service may differ by far.
     routing::text_map<run_history> runs_of_route;
     /// Requests of this daemon that are in flight at backend servers.
     std::size_t running = 0;
-    /// Requests that wait for a slot, by priority and then in the order of arrival.
+    /// Requests that wait for a slot.
     std::list<request_pointer> waiting;
+    admission::shares shares;
+    admission::return_schedule returns;
     /// Token bucket for sends to another region when the servers of an object have no room. One
     /// token permits one send.
     double cross_region_tokens = 0;
@@ -221,9 +230,36 @@
                                 kernel::monotonic_time now,
                                 std::size_t servers_per_object = max_servers_per_object);
     void send(request_pointer const& request, kernel::monotonic_time now);
-    /// Queues the request, or refuses it if it could not start in time.
-    void enqueue(request_pointer const& request, kernel::monotonic_time now);
-    /// Sends waiting requests of the service for which there is a free slot.
+    /// Counts the request among those that ask for a slot.
+    void record_asked(gateway_request const& request, kernel::monotonic_time now);
+    /// Counts the request as sent, and compares its wait with the predicted one.
+    void record_started(gateway_request& request, kernel::monotonic_time now);
+    /// Learns how long a request occupies a slot.
+    /// @param run_seconds time from the send to the answer.
+    void record_work(gateway_request const& request, double run_seconds);
+    /// Orders the waiting requests by who gets the next free slot.
+    static void sort_waiting(service_state& state, kernel::monotonic_time now);
+    /// Refuses a request that cannot start in time, unless another server has slots to spare.
+    void refuse_without_room(request_pointer const& request,
+                             admission::wait_input const& prediction,
+                             kernel::monotonic_time now);
+    /// Goes through the waiting requests by rank: sends those for which there is a free slot, and
+    /// refuses those that would start too late.
+    /// @param added the request that has just joined them, null if none.
+    /// @param max_blocked requests without room after which no more are sent, except `added`.
+    void pass_queue(service_state& state,
+                    request_pointer const& added,
+                    std::size_t max_blocked,
+                    kernel::monotonic_time now);
+    /// Refuses a request without room if it would start too late.
+    /// @param ahead waiting requests of the same server that rank before it.
+    /// @returns whether it goes on waiting.
+    [[nodiscard]] bool keep_waiting(request_pointer const& request,
+                                    bool is_new,
+                                    double ahead,
+                                    kernel::monotonic_time now);
+    /// Sends waiting requests of the service for which there is a free slot, and refuses those that
+    /// have become too late.
     void send_waiting(std::string const& service, kernel::monotonic_time now);
     void
     retry_or_fail(request_pointer const& request, attempt_end&& end, kernel::monotonic_time now);
--- a/plugins/gateway/request.hpp
+++ b/plugins/gateway/request.hpp
@@ -30,6 +30,13 @@
     ended
 };
 
+/// The wait that was predicted for a request when it was queued.
+struct wait_prediction
+{
+    double seconds = 0;
+    kernel::monotonic_time made_at;
+};
+
 /// One request of a caller. Used on the gateway's thread only.
 struct gateway_request
 {
@@ -63,10 +70,14 @@
     request_state state = request_state::waiting;
     /// The backend server to which the request was last sent.
     server_pointer server;
+    /// Missing unless the request waits.
+    std::optional<wait_prediction> predicted_wait;
     /// The backend server for whose next free slot the request waits.
     server_pointer awaited_server;
     /// Time of the last send.
     kernel::monotonic_time sent_at;
+    /// Expected time from the last send to its answer, relative to the usual work of a request.
+    double work_factor = 1;
     /// Number of sends; one of which no byte left is not counted.
     std::uint32_t sends = 0;
     /// Whether the region of the first server chosen for it was counted, inside or outside the
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -138,6 +138,23 @@
         servers[position] = std::move(by_finish[position].second);
 }
 
+// Returns the server at which a further waiting request is expected to start first.
+server_pointer earliest_start(tier const& at_distance, choice_input const& input)
+{
+    auto const start_at = [&input](server_pointer const& server)
+    {
+        return expected_finish(
+                   *server, std::max(input.run_seconds, 0.001), server->own_queued, input.now)
+            .start;
+    };
+    return *std::min_element(at_distance.servers.begin(),
+                             at_distance.servers.end(),
+                             [&](server_pointer const& left, server_pointer const& right)
+                             {
+                                 return start_at(left) < start_at(right);
+                             });
+}
+
 // Returns the server with room where the request is expected to finish first, or null.
 server_pointer least_loaded(tier const& at_distance,
                             choice_input const& input,
@@ -231,7 +248,7 @@
         if (auto server = least_loaded(eligible[candidate], input, admit_cold_request))
             return {std::move(server), choice_failure::none, nullptr};
     }
-    return {nullptr, choice_failure::no_room, eligible[first].servers.front()};
+    return {nullptr, choice_failure::no_room, earliest_start(eligible[first], input)};
 }
 
 } // namespace
--- a/plugins/gateway/server_load.cpp
+++ b/plugins/gateway/server_load.cpp
@@ -19,6 +19,12 @@
 constexpr std::uint32_t min_slowdown_percent = 20;
 constexpr std::uint32_t max_slowdown_percent = 5000;
 
+// Fraction of the target latency that a request may wait in a server's own queue.
+constexpr double max_server_queue_fraction = 0.25;
+// Upper limit of the requests that may wait at a server for each slot. The queues of the servers
+// hold a few times as many.
+constexpr double max_queue_per_slot = 1;
+
 // Removes the next figure with its comma from the start of `text`. Returns nothing if it is missing
 // or not a number.
 std::optional<std::uint32_t> consume_figure(std::string_view& text)
@@ -62,6 +68,14 @@
     return 1 + (reported - 1) * std::exp2(-std::max(age.count(), 0.0) / slowdown_half_life.count());
 }
 
+double queue_per_slot(double run_seconds, double target_seconds)
+{
+    // The run time is unknown before the first answer, and all servers are cold then.
+    if (run_seconds <= 0)
+        return 0;
+    return std::min(max_server_queue_fraction * target_seconds / run_seconds, max_queue_per_slot);
+}
+
 finish_estimate estimate_finish(finish_input const& input)
 {
     auto const slots = std::max(input.slots, 1.0);
--- a/plugins/gateway/server_load.hpp
+++ b/plugins/gateway/server_load.hpp
@@ -67,6 +67,11 @@
     double finish = 0;
 };
 
+/// @returns the requests that may wait at a server for each of its slots. The server fills a
+/// released slot from its queue at once, while daemons learn of the slot later and compete for it.
+/// @param run_seconds usual run in seconds; 0 if unknown.
+[[nodiscard]] double queue_per_slot(double run_seconds, double target_seconds);
+
 /// @returns when a further request at the server is expected to start and to finish.
 [[nodiscard]] finish_estimate estimate_finish(finish_input const& input);
 
--- a/tests/gateway/server_choice_test.cpp
+++ b/tests/gateway/server_choice_test.cpp
@@ -106,4 +106,17 @@
     CHECK(choose_any(table).server->record.id == "sve-a-1");
 }
 
+// Load pattern: no server has room. All requests that waited for the first server of the list were
+// predicted to start later than they could, and refused.
+TEST_CASE("server_choice_without_room_prefers_the_earliest_start", "[gateway]")
+{
+    auto const table = make_table("sve-a");
+    for (auto const& [id, server] : table.servers)
+        gateway::record_load(*server, {4, 4, 4, 100}, start);
+    gateway::record_load(*table.servers.at("sve-a-3"), {4, 1, 4, 100}, start);
+    CHECK(choose_any(table).preferred->record.id == "sve-a-3");
+    table.servers.at("sve-a-3")->own_queued = 8;
+    CHECK(choose_any(table).preferred->record.id != "sve-a-3");
+}
+
 } // namespace pistachiohub
