admission: Learn delays by customer and from waits in vain, and plan returns behind the queue

Cause: A customer that got much waits longer than others of its route, and only waits that ended with a slot were learned, which are the short ones: requests of a surging customer were refused after 148 ms (p99). Returns began before the queue was worked off. Change: the learned factor is kept by customer and route and also counts refused waits. A new request joins others only if it is expected to wait a sixteenth of its target latency at most. The first return lies behind what waits here and at the server, divided by the part of the slots that new requests leave.

--- a/plugins/admission/admission.cpp
+++ b/plugins/admission/admission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <string>
+#include <tuple>
 
 namespace pistachiohub::admission
 {
@@ -27,6 +29,9 @@
 constexpr double deviations_in_time = 2;
 // Weight of the newest run in the estimate of the work.
 constexpr double work_weight = 0.1;
+// Fraction of the target latency that a new request may be expected to wait behind others. Half of
+// the time within which callers need a refusal, because predictions vary.
+constexpr int queue_fraction = 2 * refusal_fraction;
 // Largest part of the target latency that is kept for the run of a request that has been waiting.
 constexpr double max_kept_fraction = 0.25;
 // Weight of the newest wait in the learned delay.
@@ -79,6 +84,11 @@
            of.started * all.asked >= min_relative_chance * all.started * of.asked;
 }
 
+std::string delay_key(claim const& of)
+{
+    return std::string(of.customer).append(1, '\n').append(of.route);
+}
+
 void prune(shares& known, kernel::monotonic_time now)
 {
     if (now - known.pruned_at < prune_interval)
@@ -90,10 +100,10 @@
     };
     std::erase_if(known.by_customer, is_forgotten);
     std::erase_if(known.by_route, is_forgotten);
-    std::erase_if(known.delay_of_route,
-                  [&known](auto const& entry)
+    std::erase_if(known.delays,
+                  [now](auto const& entry)
                   {
-                      return !known.by_route.contains(entry.first);
+                      return now - entry.second.learned_at > prune_interval;
                   });
 }
 
@@ -122,6 +132,20 @@
                   });
 }
 
+bool operator<(rank const& left, rank const& right)
+{
+    auto const in_order = [](rank const& of)
+    {
+        return std::tie(of.has_least_part,
+                        of.customer_priority,
+                        of.route_priority,
+                        of.received,
+                        of.latest_start,
+                        of.arrived_at);
+    };
+    return in_order(left) < in_order(right);
+}
+
 rank rank_of(shares const& known, claim const& waiting, kernel::monotonic_time now)
 {
     auto const all = decayed(known.all, now);
@@ -158,23 +182,23 @@
     return decayed(known.all, now).asked * std::numbers::ln2 / share_half_life.count();
 }
 
-double delay_factor(shares const& known, std::string_view route, kernel::monotonic_time now)
+double delay_factor(shares const& known, claim const& waiting, kernel::monotonic_time now)
 {
-    auto const found = known.delay_of_route.find(route);
-    if (found == known.delay_of_route.end())
+    auto const found = known.delays.find(delay_key(waiting));
+    if (found == known.delays.end())
         return 1;
     return 1 + (found->second.factor - 1) * decay(found->second.learned_at, now, delay_half_life);
 }
 
 void record_delay(shares& known,
-                  std::string_view route,
+                  claim const& waiting,
                   double predicted_seconds,
                   double waited_seconds,
                   kernel::monotonic_time now)
 {
-    auto const factor = delay_factor(known, route, now);
+    auto const factor = delay_factor(known, waiting, now);
     auto const measured = waited_seconds / std::max(predicted_seconds, min_learned_seconds);
-    known.delay_of_route[std::string(route)] = {
+    known.delays[delay_key(waiting)] = {
         std::clamp(factor + delay_weight * (measured - factor), 1.0, max_delay_factor), now};
 }
 
@@ -183,7 +207,7 @@
     auto const refused_until = input.waiting.arrived_at + input.waiting.target / refusal_fraction;
     auto const target = seconds_value(input.waiting.target).count();
     // A longer queue would serve no more requests, and make more answers late.
-    if (!input.is_queued && input.ahead >= 1 && input.wait_seconds * refusal_fraction > target)
+    if (!input.is_queued && input.ahead >= 1 && input.wait_seconds * queue_fraction > target)
         return true;
     // Later, a request keeps its place until half of a usual run is left, because predictions vary.
     auto const kept = std::min(input.run_seconds / 2, max_kept_fraction * target);
@@ -205,13 +229,14 @@
         return std::chrono::duration_cast<kernel::duration>(seconds_value(seconds));
     };
     auto const longest = std::max<kernel::duration>(input.left / return_fraction, min_return);
-    auto const earliest =
-        now + std::max<kernel::duration>(to_duration(input.queue_seconds), min_return);
-    auto const at = std::max(schedule.next_at, earliest);
-    // What lies beyond the time that callers wait is promised to nobody.
     auto const returned_part = std::clamp(1 - input.asked_per_second * input.slot_interval_seconds,
                                           min_returned_part,
                                           max_returned_part);
+    // New requests use the other slots, also while the queue is worked off.
+    auto const earliest = now + std::max<kernel::duration>(
+                                    to_duration(input.queue_seconds / returned_part), min_return);
+    auto const at = std::max(schedule.next_at, earliest);
+    // What lies beyond the time that callers wait is promised to nobody.
     schedule.next_at =
         std::min(at + to_duration(input.slot_interval_seconds / returned_part), now + longest);
     return std::min<kernel::duration>(at - now, longest);
--- a/plugins/admission/admission.hpp
+++ b/plugins/admission/admission.hpp
@@ -10,7 +10,6 @@
 #include "kernel/clock.hpp"
 #include "libraries/routing/routing_table.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -54,7 +53,8 @@
     share_counts all;
     routing::text_map<share_counts> by_customer;
     routing::text_map<share_counts> by_route;
-    routing::text_map<learned_delay> delay_of_route;
+    /// By customer and route: a customer that got much waits longer than the others.
+    routing::text_map<learned_delay> delays;
     kernel::monotonic_time pruned_at;
 };
 
@@ -83,10 +83,11 @@
     double received = 0;
     kernel::monotonic_time latest_start;
     kernel::monotonic_time arrived_at;
-
-    auto operator<=>(rank const&) const = default;
 };
 
+/// @returns whether `left` gets a free slot before `right`.
+[[nodiscard]] bool operator<(rank const& left, rank const& right);
+
 /// Counts a request that asks for a slot.
 void record_asked(shares& known, claim const& asking, kernel::monotonic_time now);
 
@@ -111,14 +112,15 @@
 [[nodiscard]] kernel::monotonic_time
 latest_start(kernel::monotonic_time arrived_at, kernel::duration target, work_estimate const& work);
 
-/// @returns the factor by which the requests of a route wait longer than predicted.
+/// @returns the factor by which the requests of the same customer and route wait longer than
+/// predicted.
 [[nodiscard]] double
-delay_factor(shares const& known, std::string_view route, kernel::monotonic_time now);
+delay_factor(shares const& known, claim const& waiting, kernel::monotonic_time now);
 
 /// Learns from a request that waited for a slot.
-/// @param predicted_seconds what estimate_finish() predicted for its wait, without the factor.
+/// @param predicted_seconds what was predicted for its wait, without the factor.
 void record_delay(shares& known,
-                  std::string_view route,
+                  claim const& waiting,
                   double predicted_seconds,
                   double waited_seconds,
                   kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_admission.cpp
+++ b/plugins/gateway/dispatcher_admission.cpp
@@ -67,8 +67,8 @@
     auto const start = expected_finish(server, work, queued, now).start;
     auto const server_queue =
         std::min(start, work * queue_per_slot(state.smoothed_run_seconds, target));
-    auto wait =
-        (start - server_queue) * admission::delay_factor(state.shares, request.route->name, now);
+    auto wait = (start - server_queue) *
+                admission::delay_factor(state.shares, claim_of(request, state), now);
     if (server.limit)
         wait = std::max(wait, seconds_until_permitted(*server.limit, now));
     wait = std::max(wait, seconds_value(server.paused_until - now).count());
@@ -91,7 +91,7 @@
     request.work_factor = expected_finish(*request.server, 1, 0, now).finish;
     if (auto const wait = std::exchange(request.predicted_wait, std::nullopt))
         admission::record_delay(state.shares,
-                                request.route->name,
+                                claim_of(request, state),
                                 wait->seconds,
                                 seconds_value(now - wait->made_at).count(),
                                 now);
@@ -125,13 +125,21 @@
     prediction.is_queued = !is_new;
     if (now + min_run_time >= request->answer_deadline || admission::is_too_late(prediction, now))
     {
+        // Waits that were in vain count too; those that ended with a slot are the short ones.
+        if (auto const wait = std::exchange(request->predicted_wait, std::nullopt))
+            admission::record_delay(state.shares,
+                                    prediction.waiting,
+                                    wait->seconds,
+                                    seconds_value(now - wait->made_at).count() +
+                                        prediction.wait_seconds,
+                                    now);
         refuse_without_room(request, prediction, now);
         return false;
     }
     if (is_new)
         request->predicted_wait = {
             prediction.wait_seconds /
-                admission::delay_factor(state.shares, request->route->name, now),
+                admission::delay_factor(state.shares, claim_of(*request, state), now),
             now};
     return true;
 }
@@ -238,9 +246,13 @@
     auto& state = state_of(request.service);
     auto const interval =
         state.smoothed_run_seconds / static_cast<double>(std::max<std::size_t>(state.running, 1));
+    auto const at_server =
+        request.awaited_server
+            ? expected_finish(*request.awaited_server, state.work.mean, 0, now).start
+            : 0.0;
     auto const wait = std::chrono::ceil<milliseconds>(
         admission::plan_return(state.returns,
-                               {static_cast<double>(state.waiting.size() + 1) * interval,
+                               {at_server + static_cast<double>(state.waiting.size()) * interval,
                                 interval,
                                 admission::asked_per_second(state.shares, now),
                                 request.caller_deadline - now},
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -166,12 +166,13 @@
 
 TEST_CASE_METHOD(admission_fixture, "admission_delay_is_learned_and_forgotten", "[admission]")
 {
-    CHECK(admission::delay_factor(m_shares, "r", m_now) == 1);
+    CHECK(admission::delay_factor(m_shares, claim_of("a"), m_now) == 1);
     for (int count = 0; count < 50; ++count)
-        admission::record_delay(m_shares, "r", 0.05, 0.15, m_now);
-    CHECK(admission::delay_factor(m_shares, "r", m_now) == Approx(3).margin(0.1));
-    CHECK(admission::delay_factor(m_shares, "other", m_now) == 1);
-    CHECK(admission::delay_factor(m_shares, "r", m_now + seconds(10)) == Approx(1).margin(0.01));
+        admission::record_delay(m_shares, claim_of("a"), 0.05, 0.15, m_now);
+    CHECK(admission::delay_factor(m_shares, claim_of("a"), m_now) == Approx(3).margin(0.1));
+    CHECK(admission::delay_factor(m_shares, claim_of("b"), m_now) == 1);
+    CHECK(admission::delay_factor(m_shares, claim_of("a"), m_now + seconds(10)) ==
+          Approx(1).margin(0.01));
 }
 
 // Load pattern: many callers are refused at the same moment.
