--- a/plugins/gateway/affinity.cpp
+++ b/plugins/gateway/affinity.cpp
@@ -56,6 +56,8 @@
 {
     std::vector<double> scores;
     std::vector<std::size_t> order;
+    scores.reserve(candidates.size());
+    order.reserve(candidates.size());
     for (auto const& candidate : candidates)
     {
         order.push_back(scores.size());
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -355,7 +355,7 @@
     if (!chosen.server)
         return false;
     if (chosen.first && request->sends == 0)
-        count_move(*request, chosen);
+        count_move(*request, chosen, now);
     // A send takes a token if it was permitted to leave the region for lack of room. Without that
     // permission it goes to another region only because its object is placed there.
     if (input.may_leave_region && chosen.server->proximity == distance::other_region)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -252,7 +252,9 @@
     /// Adapts the weights of the servers of a service to their load.
     void update_weights(std::string const& service, kernel::monotonic_time now);
     /// Counts the object of a request if it changes its server.
-    void count_move(gateway_request const& request, server_choice const& chosen);
+    void count_move(gateway_request const& request,
+                    server_choice const& chosen,
+                    kernel::monotonic_time now);
     void end_expired(kernel::monotonic_time now);
     void record_broken_send(gateway_request const& request, kernel::monotonic_time now);
     void log_broken_run(gateway_request const& request, kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_updates.cpp
+++ b/plugins/gateway/dispatcher_updates.cpp
@@ -402,27 +402,31 @@
     }
 }
 
-void dispatcher::count_move(gateway_request const& request, server_choice const& chosen)
-{
-    auto const cause = placement::record_placement(
-        state_of(request.service).moves,
-        {*request.affinity_key,
-         chosen.server->hash,
-         chosen.first->hash,
-         chosen.first->added_number,
-         m_servers.added_count},
-        [this](std::uint64_t hash)
-        {
-            auto const found = m_servers.by_hash.find(hash);
-            return found != m_servers.by_hash.end() && is_usable(m_servers, *found->second);
-        });
-    auto const count = [this](std::string_view name, std::string_view label)
+void dispatcher::count_move(gateway_request const& request,
+                            server_choice const& chosen,
+                            kernel::monotonic_time now)
+{
+    auto const is_available = [this, now](std::uint64_t hash)
     {
-        m_metrics.find_counter(name, {"cause", label}).increment();
+        auto const found = m_servers.by_hash.find(hash);
+        return found != m_servers.by_hash.end() && is_usable(m_servers, *found->second) &&
+               is_open(*found->second, now);
     };
-    if (cause == placement::move_cause::none)
-        return;
-    count("pistachiohub_gateway_object_moves_total", placement::to_string(cause));
+    auto const move = placement::record_placement(state_of(request.service).moves,
+                                                  {*request.affinity_key,
+                                                   chosen.server->hash,
+                                                   chosen.first->hash,
+                                                   chosen.first->added_number,
+                                                   m_servers.added_count,
+                                                   now},
+                                                  is_available);
+    if (move.is_required)
+        m_metrics.find_counter("pistachiohub_gateway_object_moves_required_total").increment();
+    if (move.cause != placement::move_cause::none)
+        m_metrics
+            .find_counter("pistachiohub_gateway_object_moves_total",
+                          {"cause", placement::to_string(move.cause)})
+            .increment();
 }
 
 void dispatcher::start_spill_of(std::string const& service,
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -13,13 +13,9 @@
 
 constexpr std::size_t distance_count = 3;
 
-// Servers at one distance, with their entries for rendezvous hashing at the same indices.
-struct tier
-{
-    std::vector<server_pointer> servers;
-    std::vector<affinity_candidate> candidates;
-};
-
+// Servers at one distance, as pointers into the table. Each request lists all servers of its
+// service, and copies of shared pointers took most of the time of a choice.
+using tier = std::vector<server_pointer const*>;
 using tiers = std::array<tier, distance_count>;
 
 // Returns whether the home regions of the route permit the server.
@@ -68,12 +64,11 @@
         // are others at the same distance.
         auto& target = is_open(*server, now) ? available
                                              : avoided[static_cast<std::size_t>(server->proximity)];
-        target.servers.push_back(server);
-        target.candidates.push_back({server->hash, static_cast<double>(server->record.slots)});
+        target.push_back(&server);
     }
     for (std::size_t index = 0; index < distance_count; ++index)
     {
-        if (result[index].servers.empty())
+        if (result[index].empty())
             result[index] = std::move(avoided[index]);
     }
     return result;
@@ -83,7 +78,7 @@
 std::size_t nearest_distance(tiers const& eligible)
 {
     std::size_t nearest = 0;
-    while (nearest < distance_count && eligible[nearest].servers.empty())
+    while (nearest < distance_count && eligible[nearest].empty())
         ++nearest;
     return nearest;
 }
@@ -96,7 +91,7 @@
         selected = 2;
     else if (input.sample >= input.spill.domain_fraction)
         selected = 1;
-    return eligible[selected].servers.empty() ? nearest_distance(eligible) : selected;
+    return eligible[selected].empty() ? nearest_distance(eligible) : selected;
 }
 
 bool can_accept(known_server& server,
@@ -113,18 +108,18 @@
                             choice_input const& input,
                             std::function<bool(known_server&)> const& admit_cold_request)
 {
-    auto by_load = at_distance.servers;
+    auto by_load = at_distance;
     std::sort(by_load.begin(),
               by_load.end(),
-              [&input](server_pointer const& left, server_pointer const& right)
+              [&input](server_pointer const* left, server_pointer const* right)
               {
-                  return estimated_load(*left, input.now) * right->record.slots <
-                         estimated_load(*right, input.now) * left->record.slots;
+                  return estimated_load(**left, input.now) * (*right)->record.slots <
+                         estimated_load(**right, input.now) * (*left)->record.slots;
               });
-    for (auto const& server : by_load)
+    for (auto const* const server : by_load)
     {
-        if (can_accept(*server, input.now, input.queue_per_slot, admit_cold_request))
-            return server;
+        if (can_accept(**server, input.now, input.queue_per_slot, admit_cold_request))
+            return *server;
     }
     return nullptr;
 }
@@ -147,31 +142,33 @@
     std::array<double, distance_count> slots{};
     for (std::size_t index = 0; index < distance_count; ++index)
     {
-        for (auto const& server : eligible[index].servers)
-            slots[index] += server->record.slots;
+        for (auto const* const server : eligible[index])
+            slots[index] += (*server)->record.slots;
     }
     auto const weights = weights_of(input.spill, {slots[0], slots[1], slots[2]});
     std::array<double, distance_count> const weight_of{
         weights.own_region, weights.own_region, weights.other_regions};
-    std::vector<server_pointer> servers;
+    auto const count = eligible[0].size() + eligible[1].size() + eligible[2].size();
+    tier servers;
     std::vector<affinity_candidate> candidates;
+    servers.reserve(count);
+    candidates.reserve(count);
     for (std::size_t index = 0; index < distance_count; ++index)
     {
         if (weight_of[index] <= 0)
             continue;
-        for (std::size_t member = 0; member < eligible[index].servers.size(); ++member)
+        for (auto const* const server : eligible[index])
         {
-            servers.push_back(eligible[index].servers[member]);
-            candidates.push_back(eligible[index].candidates[member]);
-            candidates.back().weight *= weight_of[index];
-            if (input.is_stable)
-                candidates.back().weight *= servers.back()->weight.factor;
+            auto const factor = input.is_stable ? (*server)->weight.factor : 1;
+            servers.push_back(server);
+            candidates.push_back(
+                {(*server)->hash, (*server)->record.slots * weight_of[index] * factor});
         }
     }
     std::vector<server_pointer> ranked;
     for (auto const index :
          rank_by_affinity(*request.affinity_key, candidates, input.servers_per_object))
-        ranked.push_back(servers[index]);
+        ranked.push_back(*servers[index]);
     return ranked;
 }
 
@@ -220,14 +217,14 @@
     std::array<std::size_t, distance_count + 1> const order{first, 0, 1, 2};
     for (auto const candidate : order)
     {
-        if (eligible[candidate].servers.empty() ||
-            !is_permitted_distance(
-                static_cast<distance>(first), static_cast<distance>(candidate), input))
+        if (eligible[candidate].empty() || !is_permitted_distance(static_cast<distance>(first),
+                                                                  static_cast<distance>(candidate),
+                                                                  input))
             continue;
         if (auto server = least_loaded(eligible[candidate], input, admit_cold_request))
             return {std::move(server), choice_failure::none, nullptr, nullptr};
     }
-    return {nullptr, choice_failure::no_room, eligible[first].servers.front(), nullptr};
+    return {nullptr, choice_failure::no_room, *eligible[first].front(), nullptr};
 }
 
 } // namespace
--- a/plugins/placement/move_sample.hpp
+++ b/plugins/placement/move_sample.hpp
@@ -3,10 +3,13 @@
 /// @file
 /// Counts objects that change their backend server, in a sample of the objects.
 
+#include "kernel/clock.hpp"
+
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string_view>
-#include <unordered_map>
+#include <vector>
 
 namespace pistachiohub::placement
 {
@@ -33,8 +36,11 @@
 /// @returns the name used in metric labels.
 [[nodiscard]] std::string_view to_string(move_cause cause);
 
-/// Largest number of objects in the sample. Further objects are not counted.
-inline constexpr std::size_t max_sampled_objects = 512;
+/// Number of objects in the sample.
+inline constexpr std::size_t sampled_objects = 512;
+
+/// Time without a request after which another object takes the place of one in the sample.
+inline constexpr std::chrono::seconds sample_retention{60};
 
 /// Where one request of an object runs. Servers are identified by the hash of their id.
 struct placed_request
@@ -47,40 +53,30 @@
     std::uint64_t first_added = 0;
     /// Order of the server that was added last.
     std::uint64_t last_added = 0;
+    kernel::monotonic_time at;
+};
+
+/// What one request says of its object.
+struct object_move
+{
+    /// `none` if the object did not change its server or is not in the sample.
+    move_cause cause = move_cause::none;
+    /// Whether the first server changed because servers joined or left. The number of these objects
+    /// is the fewest that any placement in proportion to the slots would move.
+    bool is_required = false;
 };
 
-/// The last server of each sampled object.
+/// The last server of each sampled object. Objects are sampled by their hash.
 struct move_sample
 {
-    std::unordered_map<std::uint64_t, placed_request> objects;
+    /// Empty before the first request.
+    std::vector<placed_request> objects;
 };
 
 /// Records where a request runs.
-/// @param is_first_usable returns whether the server of the hash may still be used.
-/// @returns why the object changed its server, `none` if it did not or is not in the sample. The
-/// causes `joined` and `left` are the fewest moves that a change of the servers requires.
-template<class Predicate>
-[[nodiscard]] move_cause
-record_placement(move_sample& sample, placed_request const& placed, Predicate is_first_usable)
-{
-    auto const found = sample.objects.find(placed.object);
-    if (found == sample.objects.end())
-    {
-        if (sample.objects.size() < max_sampled_objects)
-            sample.objects.emplace(placed.object, placed);
-        return move_cause::none;
-    }
-    auto const earlier = found->second;
-    found->second = placed;
-    if (placed.server == earlier.server)
-        return move_cause::none;
-    if (placed.server != placed.first)
-        return move_cause::overflow;
-    if (placed.first == earlier.first)
-        return move_cause::returned;
-    if (placed.first_added > earlier.last_added)
-        return move_cause::joined;
-    return is_first_usable(earlier.first) ? move_cause::weights : move_cause::left;
-}
+/// @param is_available returns whether requests may still be sent to the server of a hash.
+[[nodiscard]] object_move record_placement(move_sample& sample,
+                                           placed_request const& placed,
+                                           std::function<bool(std::uint64_t)> const& is_available);
 
 } // namespace pistachiohub::placement
--- a/tests/gateway/server_choice_test.cpp
+++ b/tests/gateway/server_choice_test.cpp
@@ -36,26 +36,60 @@
     return table;
 }
 
-/// Returns the id of the server that is chosen for a request of the object, empty if there is none.
-std::string choose(gateway::server_table const& table, int object)
+/// Returns the choice for a request of the object.
+gateway::server_choice
+choose(gateway::server_table const& table, std::uint64_t object, gateway::choice_input input)
 {
     static routing::route const route;
     gateway::gateway_request request;
     request.service = "s";
     request.route = &route;
-    request.affinity_key = gateway::hash_text(std::to_string(object));
-    gateway::choice_input input;
+    request.affinity_key = object;
     input.now = start;
-    auto const chosen = gateway::choose_server(table,
-                                               request,
-                                               input,
-                                               [](gateway::known_server&)
-                                               {
-                                                   return true;
-                                               });
+    return gateway::choose_server(table,
+                                  request,
+                                  input,
+                                  [](gateway::known_server&)
+                                  {
+                                      return true;
+                                  });
+}
+
+/// Returns the id of the server that is chosen for a request of the object, empty if there is none.
+std::string choose(gateway::server_table const& table, int object)
+{
+    auto const chosen = choose(table, gateway::hash_text(std::to_string(object)), {});
     return chosen.server ? chosen.server->record.id : "";
 }
 
+/// The servers of one object, which have four slots each.
+class server_choice_fixture
+{
+protected:
+    static constexpr std::uint64_t object = 7;
+    gateway::server_table m_table = make_table("sve-a");
+    gateway::choice_input m_input;
+    gateway::server_pointer m_first;
+    gateway::server_pointer m_second;
+
+    server_choice_fixture()
+    {
+        m_input.queue_per_slot = 0.25;
+        m_input.may_leave_domain = true;
+        m_first = choose(m_table, object, m_input).server;
+        m_first->own_in_flight = 100;
+        m_second = choose(m_table, object, m_input).server;
+        m_first->own_in_flight = 0;
+    }
+
+    gateway::server_pointer chosen(std::uint32_t at_first, std::uint32_t at_second)
+    {
+        m_first->own_in_flight = at_first;
+        m_second->own_in_flight = at_second;
+        return choose(m_table, object, m_input).server;
+    }
+};
+
 } // namespace
 
 // Load pattern: at the start of a day no server has any object cached, and callers of each failure
@@ -73,4 +107,67 @@
     }
 }
 
+// Guards against earlier deployments that are served otherwise than before.
+TEST_CASE_METHOD(server_choice_fixture,
+                 "server_choice_by_load_ignores_weights_and_fills_queues_alike",
+                 "[gateway]")
+{
+    m_first->weight.factor = 0;
+    CHECK(chosen(4, 0) == m_first);
+    CHECK(chosen(5, 0) == m_second);
+    CHECK(chosen(5, 4) == m_second);
+    CHECK(chosen(5, 5) == nullptr);
+}
+
+// Load pattern: the first server is full for a moment. Guards against overflow that queues at the
+// second server and displaces its objects, and against a queue at the first one without bound.
+TEST_CASE_METHOD(server_choice_fixture,
+                 "server_choice_stable_overflows_only_to_a_free_slot",
+                 "[gateway]")
+{
+    m_input.is_stable = true;
+    CHECK(chosen(5, 0) == m_first);
+    CHECK(chosen(6, 3) == m_second);
+    CHECK(chosen(6, 4) == nullptr);
+    m_input.queue_per_slot = 1;
+    CHECK(chosen(7, 4) == m_first);
+    CHECK(chosen(8, 4) == nullptr);
+}
+
+// Guards against a cold first server, which refuses most requests, that leaves the second one
+// without its queue.
+TEST_CASE_METHOD(server_choice_fixture,
+                 "server_choice_stable_second_server_queues_while_the_first_is_cold",
+                 "[gateway]")
+{
+    m_input.is_stable = true;
+    m_first->cold_until = start + std::chrono::seconds(1);
+    CHECK(chosen(8, 4) == m_second);
+}
+
+// Guards against weights that move the object of a server whose weight stays.
+TEST_CASE_METHOD(server_choice_fixture,
+                 "server_choice_stable_lower_weight_only_takes_objects_away",
+                 "[gateway]")
+{
+    m_input.is_stable = true;
+    auto const choose_all = [this]()
+    {
+        std::vector<gateway::server_pointer> servers;
+        for (std::uint64_t number = 0; number < 400; ++number)
+            servers.push_back(choose(m_table, number, m_input).server);
+        return servers;
+    };
+    auto const before = choose_all();
+    m_first->weight.factor = 0.8;
+    auto const later = choose_all();
+    std::size_t moved = 0;
+    for (std::size_t number = 0; number < before.size(); ++number)
+    {
+        CHECK((before[number] == later[number] || before[number] == m_first));
+        moved += before[number] != later[number] ? 1 : 0;
+    }
+    CHECK(moved > 0);
+}
+
 } // namespace pistachiohub
--- a/tests/kernel/output_test.cpp
+++ b/tests/kernel/output_test.cpp
@@ -124,6 +124,22 @@
     CHECK(parsed.gateway->region_of_domain.at("sve-a") == "svealand");
 }
 
+// Guards against a placement that changes for deployments which do not set it, and against a
+// misspelt rule that silently has no effect.
+TEST_CASE("settings_of_a_gateway_placement_is_by_load_unless_set", "[kernel]")
+{
+    auto const parse = [](std::string const& member)
+    {
+        return kernel::parse_settings(
+            replace(gateway_text, R"("bounds": {)", member + R"("bounds": {)"));
+    };
+    CHECK(parse("").gateway->placement == kernel::placement_rule::by_load);
+    CHECK(parse(R"("placement": "by_load", )").gateway->placement ==
+          kernel::placement_rule::by_load);
+    CHECK(parse(R"("placement": "stable", )").gateway->placement == kernel::placement_rule::stable);
+    CHECK_THROWS_AS(parse(R"("placement": "Stable", )"), kernel::settings_error);
+}
+
 TEST_CASE("settings_of_a_gateway_bad_value_names_key_and_range", "[kernel]")
 {
     auto const bad = GENERATE(replace(gateway_text, "\"shift\": 0.15", "\"shift\": 1.5"),
