gateway: Let overflow queue at the second server rather than refuse it

Change: A request that would be refused, or has waited a quarter of its target latency, may queue at the second server. The queue of the first is 1.5 times that of by_load instead of twice; longer ones overran the queues of the servers between two load reports.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -32,6 +32,8 @@
 // may use one of another failure domain or region.
 constexpr double domain_wait_fraction = 0.5;
 constexpr double region_wait_fraction = 0.6;
+// The same for the queue of its second server, with stable placement.
+constexpr double last_resort_fraction = 0.25;
 // Fraction of the target latency that a request may wait in a server's own queue. The server fills
 // a released slot from its queue at once, while daemons learn of the slot later and compete for it.
 constexpr double max_server_queue_fraction = 0.25;
@@ -311,7 +313,8 @@
 
 bool dispatcher::try_send(request_pointer const& request,
                           kernel::monotonic_time now,
-                          std::size_t servers_per_object)
+                          std::size_t servers_per_object,
+                          bool is_last_resort)
 {
     if (gateway::is_quarantined(m_crashes, *request, now))
     {
@@ -336,6 +339,7 @@
     input.queue_per_slot = queue_per_slot(state.smoothed_run_seconds, target.count());
     input.servers_per_object = servers_per_object;
     input.is_stable = m_has_stable_placement;
+    input.is_last_resort = is_last_resort || waited > last_resort_fraction * target;
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -407,8 +411,10 @@
                           waited + wait_seconds <= max_wait_fraction * target && has_time;
     if (!can_wait)
     {
-        bool const is_sent = has_time && has_spare_slots(state) &&
-                             try_send(request, now, max_servers_per_object_with_spare_slots);
+        auto const servers = has_spare_slots(state) ? max_servers_per_object_with_spare_slots
+                                                    : max_servers_per_object;
+        bool const is_sent = has_time && (has_spare_slots(state) || m_has_stable_placement) &&
+                             try_send(request, now, servers, true);
         // The attempt to send it may have refused it for another cause.
         if (!is_sent && request->state != request_state::ended)
             refuse(request, refusal::no_room, now);
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -219,9 +219,11 @@
     void dispatch(request_pointer const& request, kernel::monotonic_time now);
     /// @returns whether the request was sent. It may also have been refused.
     /// @param servers_per_object number of servers that may run the requests of one object.
+    /// @param is_last_resort whether the request is refused if it is not sent.
     [[nodiscard]] bool try_send(request_pointer const& request,
                                 kernel::monotonic_time now,
-                                std::size_t servers_per_object = max_servers_per_object);
+                                std::size_t servers_per_object = max_servers_per_object,
+                                bool is_last_resort = false);
     void send(request_pointer const& request, kernel::monotonic_time now);
     /// Queues the request, or refuses it if it could not start in time.
     void enqueue(request_pointer const& request, kernel::monotonic_time now);
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -178,13 +178,11 @@
 double
 queue_of_ranked(known_server const& first, known_server const& server, choice_input const& input)
 {
-    // A cold first server refuses most requests whatever its queue. With more servers for each
-    // object the request would otherwise be refused.
-    if (!input.is_stable || input.now < first.cold_until ||
-        input.servers_per_object > max_servers_per_object)
+    // A cold first server refuses most requests whatever its queue.
+    if (!input.is_stable || input.now < first.cold_until)
         return input.queue_per_slot;
     if (&server != &first)
-        return 0;
+        return input.is_last_resort ? input.queue_per_slot : 0;
     return std::max(input.queue_per_slot,
                     std::min(first_server_queue_factor * input.queue_per_slot,
                              max_first_server_queue_per_slot));
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -23,7 +23,7 @@
 /// Factor on the requests that may wait at the first server of an object with stable placement, and
 /// the largest number of them for each slot. A short wait at a server where the object is warm ends
 /// earlier than a cold run elsewhere.
-inline constexpr double first_server_queue_factor = 2;
+inline constexpr double first_server_queue_factor = 1.5;
 inline constexpr double max_first_server_queue_per_slot = 1;
 
 /// Inputs of one choice, in addition to the servers and the request.
@@ -45,6 +45,9 @@
     /// Whether the weights of the servers apply, and the first server of an object may have a
     /// longer queue before another one is used.
     bool is_stable = false;
+    /// Whether the request would be refused otherwise. All servers of the object then have the
+    /// queue of the rule by load.
+    bool is_last_resort = false;
     kernel::monotonic_time now;
 };
 
--- a/tests/gateway/server_choice_test.cpp
+++ b/tests/gateway/server_choice_test.cpp
@@ -129,6 +129,9 @@
     CHECK(chosen(5, 0) == m_first);
     CHECK(chosen(6, 3) == m_second);
     CHECK(chosen(6, 4) == nullptr);
+    m_input.is_last_resort = true;
+    CHECK(chosen(6, 4) == m_second);
+    m_input.is_last_resort = false;
     m_input.queue_per_slot = 1;
     CHECK(chosen(7, 4) == m_first);
     CHECK(chosen(8, 4) == nullptr);
