--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -31,6 +31,8 @@
 // may use one of another failure domain or region.
 constexpr double domain_wait_fraction = 0.5;
 constexpr double region_wait_fraction = 0.6;
+// The same for the queue of its second server, with stable placement.
+constexpr double last_resort_fraction = 0.25;
 // Time before the deadline of the caller by which the answer is sent, so that the caller can read
 // it.
 constexpr auto answer_margin = milliseconds(25);
@@ -270,7 +272,8 @@
 
 bool dispatcher::try_send(request_pointer const& request,
                           kernel::monotonic_time now,
-                          std::size_t servers_per_object)
+                          std::size_t servers_per_object,
+                          bool is_last_resort)
 {
     if (gateway::is_quarantined(m_crashes, *request, now))
     {
@@ -296,6 +299,7 @@
     input.run_seconds = state.smoothed_run_seconds;
     input.servers_per_object = servers_per_object;
     input.is_stable = m_has_stable_placement;
+    input.is_last_resort = is_last_resort || waited > last_resort_fraction * target;
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -315,7 +319,7 @@
     if (!chosen.server)
         return false;
     if (chosen.first && request->sends == 0)
-        count_move(*request, chosen);
+        count_move(*request, chosen, now);
     // A send takes a token if it was permitted to leave the region for lack of room. Without that
     // permission it goes to another region only because its object is placed there.
     if (input.may_leave_region && chosen.server->proximity == distance::other_region)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -259,9 +259,11 @@
     void dispatch(request_pointer const& request, kernel::monotonic_time now);
     /// @returns whether the request was sent. It may also have been refused.
     /// @param servers_per_object number of servers that may run the requests of one object.
+    /// @param is_last_resort whether the request is refused if it is not sent.
     [[nodiscard]] bool try_send(request_pointer const& request,
                                 kernel::monotonic_time now,
-                                std::size_t servers_per_object = max_servers_per_object);
+                                std::size_t servers_per_object = max_servers_per_object,
+                                bool is_last_resort = false);
     void send(request_pointer const& request, kernel::monotonic_time now);
     /// Counts the request among those that ask for a slot.
     void record_asked(gateway_request const& request, kernel::monotonic_time now);
@@ -319,7 +321,9 @@
     /// Adapts the weights of the servers of a service to their load.
     void update_weights(std::string const& service, kernel::monotonic_time now);
     /// Counts the object of a request if it changes its server.
-    void count_move(gateway_request const& request, server_choice const& chosen);
+    void count_move(gateway_request const& request,
+                    server_choice const& chosen,
+                    kernel::monotonic_time now);
     void end_expired(kernel::monotonic_time now);
     void record_broken_send(gateway_request const& request, kernel::monotonic_time now);
     void log_broken_run(gateway_request const& request, kernel::monotonic_time now);
--- a/plugins/gateway/dispatcher_admission.cpp
+++ b/plugins/gateway/dispatcher_admission.cpp
@@ -151,8 +151,10 @@
 {
     auto& state = state_of(request->service);
     bool const has_time = now + min_run_time < request->answer_deadline;
-    bool const is_sent = has_time && has_spare_slots(state) &&
-                         try_send(request, now, max_servers_per_object_with_spare_slots);
+    auto const servers = has_spare_slots(state) ? max_servers_per_object_with_spare_slots
+                                                : max_servers_per_object;
+    bool const is_sent = has_time && (has_spare_slots(state) || m_has_stable_placement) &&
+                         try_send(request, now, servers, true);
     // The attempt to send it may have refused it for another cause.
     if (is_sent || request->state == request_state::ended)
         return;
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -15,13 +15,9 @@
 
 constexpr std::size_t distance_count = 3;
 
-// Servers at one distance, with their entries for rendezvous hashing at the same indices.
-struct tier
-{
-    std::vector<server_pointer> servers;
-    std::vector<affinity_candidate> candidates;
-};
-
+// Servers at one distance, as pointers into the table. Each request lists all servers of its
+// service, and copies of shared pointers took most of the time of a choice.
+using tier = std::vector<server_pointer const*>;
 using tiers = std::array<tier, distance_count>;
 
 bool permits(std::vector<std::string> const& homes, std::string const& region)
@@ -75,12 +71,11 @@
         // are others at the same distance.
         auto& target = is_open(*server, now) ? available
                                              : avoided[static_cast<std::size_t>(server->proximity)];
-        target.servers.push_back(server);
-        target.candidates.push_back({server->hash, static_cast<double>(server->record.slots)});
+        target.push_back(&server);
     }
     for (std::size_t index = 0; index < distance_count; ++index)
     {
-        if (result[index].servers.empty())
+        if (result[index].empty())
             result[index] = std::move(avoided[index]);
     }
     return result;
@@ -90,7 +85,7 @@
 std::size_t nearest_distance(tiers const& eligible)
 {
     std::size_t nearest = 0;
-    while (nearest < distance_count && eligible[nearest].servers.empty())
+    while (nearest < distance_count && eligible[nearest].empty())
         ++nearest;
     return nearest;
 }
@@ -103,7 +98,7 @@
         selected = 2;
     else if (input.sample >= input.spill.domain_fraction)
         selected = 1;
-    return eligible[selected].servers.empty() ? nearest_distance(eligible) : selected;
+    return eligible[selected].empty() ? nearest_distance(eligible) : selected;
 }
 
 bool can_accept(known_server& server,
@@ -129,11 +124,12 @@
 }
 
 // Orders servers by the expected finish of a request.
-void sort_by_finish(std::span<server_pointer> servers, choice_input const& input)
+void sort_by_finish(std::span<server_pointer const*> servers, choice_input const& input)
 {
-    std::vector<std::pair<double, server_pointer>> by_finish;
-    for (auto const& server : servers)
-        by_finish.emplace_back(finish_with_contention(*server, input), server);
+    std::vector<std::pair<double, server_pointer const*>> by_finish;
+    by_finish.reserve(servers.size());
+    for (auto const* const server : servers)
+        by_finish.emplace_back(finish_with_contention(**server, input), server);
     std::stable_sort(by_finish.begin(),
                      by_finish.end(),
                      [](auto const& left, auto const& right)
@@ -141,24 +137,24 @@
                          return left.first < right.first;
                      });
     for (std::size_t position = 0; position < servers.size(); ++position)
-        servers[position] = std::move(by_finish[position].second);
+        servers[position] = by_finish[position].second;
 }
 
 // Returns the server at which a further waiting request is expected to start first.
 server_pointer earliest_start(tier const& at_distance, choice_input const& input)
 {
-    auto const start_at = [&input](server_pointer const& server)
+    auto const start_at = [&input](known_server const& server)
     {
         return expected_finish(
-                   *server, std::max(input.run_seconds, 0.001), server->own_queued, input.now)
+                   server, std::max(input.run_seconds, 0.001), server.own_queued, input.now)
             .start;
     };
-    return *std::min_element(at_distance.servers.begin(),
-                             at_distance.servers.end(),
-                             [&](server_pointer const& left, server_pointer const& right)
-                             {
-                                 return start_at(left) < start_at(right);
-                             });
+    return **std::min_element(at_distance.begin(),
+                              at_distance.end(),
+                              [&](server_pointer const* left, server_pointer const* right)
+                              {
+                                  return start_at(**left) < start_at(**right);
+                              });
 }
 
 // Returns the server with room where the request is expected to finish first, or null.
@@ -166,12 +162,12 @@
                             choice_input const& input,
                             std::function<bool(known_server&)> const& admit_cold_request)
 {
-    auto by_load = at_distance.servers;
+    auto by_load = at_distance;
     sort_by_finish(by_load, input);
-    for (auto const& server : by_load)
+    for (auto const* const server : by_load)
     {
-        if (can_accept(*server, input.now, input.queue_per_slot, admit_cold_request))
-            return server;
+        if (can_accept(**server, input.now, input.queue_per_slot, admit_cold_request))
+            return *server;
     }
     return nullptr;
 }
@@ -194,31 +190,33 @@
     std::array<double, distance_count> slots{};
     for (std::size_t index = 0; index < distance_count; ++index)
     {
-        for (auto const& server : eligible[index].servers)
-            slots[index] += server->record.slots;
+        for (auto const* const server : eligible[index])
+            slots[index] += (*server)->record.slots;
     }
     auto const weights = weights_of(input.spill, {slots[0], slots[1], slots[2]});
     std::array<double, distance_count> const weight_of{
         weights.own_region, weights.own_region, weights.other_regions};
-    std::vector<server_pointer> servers;
+    auto const count = eligible[0].size() + eligible[1].size() + eligible[2].size();
+    tier servers;
     std::vector<affinity_candidate> candidates;
+    servers.reserve(count);
+    candidates.reserve(count);
     for (std::size_t index = 0; index < distance_count; ++index)
     {
         if (weight_of[index] <= 0)
             continue;
-        for (std::size_t member = 0; member < eligible[index].servers.size(); ++member)
+        for (auto const* const server : eligible[index])
         {
-            servers.push_back(eligible[index].servers[member]);
-            candidates.push_back(eligible[index].candidates[member]);
-            candidates.back().weight *= weight_of[index];
-            if (input.is_stable)
-                candidates.back().weight *= servers.back()->weight.factor;
+            auto const factor = input.is_stable ? (*server)->weight.factor : 1;
+            servers.push_back(server);
+            candidates.push_back(
+                {(*server)->hash, (*server)->record.slots * weight_of[index] * factor});
         }
     }
     std::vector<server_pointer> ranked;
     for (auto const index :
          rank_by_affinity(*request.affinity_key, candidates, input.servers_per_object))
-        ranked.push_back(servers[index]);
+        ranked.push_back(*servers[index]);
     return ranked;
 }
 
@@ -228,13 +226,11 @@
 double
 queue_of_ranked(known_server const& first, known_server const& server, choice_input const& input)
 {
-    // A cold first server refuses most requests whatever its queue. With more servers for each
-    // object the request would otherwise be refused.
-    if (!input.is_stable || input.now < first.cold_until ||
-        input.servers_per_object > max_servers_per_object)
+    // A cold first server refuses most requests whatever its queue.
+    if (!input.is_stable || input.now < first.cold_until)
         return input.queue_per_slot;
     if (&server != &first)
-        return 0;
+        return input.is_last_resort ? input.queue_per_slot : 0;
     return std::max(input.queue_per_slot,
                     std::min(first_server_queue_factor * input.queue_per_slot,
                              max_first_server_queue_per_slot));
@@ -267,9 +263,9 @@
     std::array<std::size_t, distance_count + 1> const order{first, 0, 1, 2};
     for (auto const candidate : order)
     {
-        if (eligible[candidate].servers.empty() ||
-            !is_permitted_distance(
-                static_cast<distance>(first), static_cast<distance>(candidate), input))
+        if (eligible[candidate].empty() || !is_permitted_distance(static_cast<distance>(first),
+                                                                  static_cast<distance>(candidate),
+                                                                  input))
             continue;
         if (auto server = least_loaded(eligible[candidate], input, admit_cold_request))
             return {std::move(server), choice_failure::none, nullptr, nullptr};
