gateway: Bound the bytes of uploads to one backend server, and free sent requests

Cause: large uploads were sent to one server without regard to what it holds, and it crashes when that exceeds its memory. An idle connection kept the text of its last request, up to 64 MiB that no account knew.

Change: plugins/memory/server_bytes (pure) decides whether a server has room for an upload; choose_server passes over one that has none, so that the request goes to another or waits. A connection that is kept drops the text of its request. An unfinished request that stands behind a running one on its connection can be refused for want of memory too, and a connection refuses itself only once.

--- a/libraries/http/connection_choice.cpp
+++ b/libraries/http/connection_choice.cpp
@@ -66,9 +66,7 @@
     for (std::size_t position = 0; position < connections.size(); ++position)
     {
         auto const& one = connections[position];
-        bool const is_unfinished =
-            one.use == connection_use::receiving_head || one.use == connection_use::receiving_body;
-        if (is_unfinished && now - one.since >= min_body_time &&
+        if (one.received_bytes > 0 && now - one.received_since >= min_body_time &&
             (!chosen || one.received_bytes > connections[*chosen].received_bytes))
             chosen = position;
     }
--- a/libraries/http/connection_choice.hpp
+++ b/libraries/http/connection_choice.hpp
@@ -37,8 +37,10 @@
     connection_use use = connection_use::idle;
     /// The last byte in either direction, or the first byte of an unfinished request.
     kernel::monotonic_time since;
-    /// Memory of an unfinished request.
+    /// Memory of an unfinished request, which may stand behind others that run.
     std::size_t received_bytes = 0;
+    /// The first byte of that request.
+    kernel::monotonic_time received_since;
     /// Memory of answers that the caller has not taken.
     std::size_t unsent_bytes = 0;
 };
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -79,7 +79,7 @@
 
     [[nodiscard]] connection_state state() const
     {
-        return {m_use, m_since, m_received.bytes(), m_unsent.bytes()};
+        return {m_use, m_since, is_receiving() ? m_received.bytes() : 0, m_since, m_unsent.bytes()};
     }
 
     [[nodiscard]] bool is_open() const
--- a/plugins/front/caller_server.cpp
+++ b/plugins/front/caller_server.cpp
@@ -159,7 +159,7 @@
 
     [[nodiscard]] bounds::connection_state state() const
     {
-        return {m_use, m_since, m_received.bytes(), m_unsent.bytes()};
+        return {m_use, m_since, is_receiving() ? m_received.bytes() : 0, m_since, m_unsent.bytes()};
     }
 
     /// Closes the connection so that another can be accepted.
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -290,20 +290,8 @@
 
     [[nodiscard]] http::connection_state state() const
     {
-        using http::connection_use;
-        if (m_is_lingering)
-            return {connection_use::ending, m_active_at, 0, 0};
-        if (m_is_writing)
-            return {connection_use::sending, m_active_at, m_held_bytes, unsent_bytes()};
-        if (!m_exchanges.empty())
-            return {connection_use::running, m_active_at, m_held_bytes, unsent_bytes()};
-        if (!has_partial_request())
-            return {connection_use::idle, m_active_at, 0, 0};
-        bool const has_head = m_parser && m_parser->is_header_done();
-        return {has_head ? connection_use::receiving_body : connection_use::receiving_head,
-                m_request_began_at,
-                m_held_bytes,
-                0};
+        auto const since = is_busy() || !has_partial_request() ? m_active_at : m_request_began_at;
+        return {current_use(), since, m_held_bytes, m_request_began_at, unsent_bytes()};
     }
 
     [[nodiscard]] bool is_busy() const
@@ -357,6 +345,19 @@
         return is_exhausted(m_shared->memory) ? 0 : max_stream_backlog;
     }
 
+    [[nodiscard]] http::connection_use current_use() const
+    {
+        using http::connection_use;
+        if (m_is_lingering)
+            return connection_use::ending;
+        if (is_busy())
+            return m_is_writing ? connection_use::sending : connection_use::running;
+        if (!has_partial_request())
+            return connection_use::idle;
+        return m_parser && m_parser->is_header_done() ? connection_use::receiving_body
+                                                      : connection_use::receiving_head;
+    }
+
     [[nodiscard]] bool has_partial_request() const
     {
         return m_buffer.size() > 0 || (m_parser && m_parser->got_some());
@@ -449,12 +450,14 @@
             return true;
         auto const now = kernel::monotonic_now();
         auto const all = m_shared->list_sessions();
-        if (auto const largest = http::choose_request_to_refuse(all.states, now))
+        auto const largest = http::choose_request_to_refuse(all.states, now);
+        // The caller of this function refuses the request of its own connection.
+        if (largest && all.sessions[*largest].get() != this)
             all.sessions[*largest]->refuse(refusal::no_memory);
         if (auto const slow = http::choose_slow_reader(all.states, now);
             slow && is_exhausted(m_shared->memory))
             all.sessions[*slow]->abandon("slow_reader");
-        return !m_is_last && !m_shared->is_memory_used_up();
+        return !m_shared->is_memory_used_up();
     }
 
     [[nodiscard]] bool may_take_request() const
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "plugins/gateway/affinity.hpp"
 #include "plugins/gateway/cold_allowance.hpp"
 #include "plugins/gateway/server_choice.hpp"
+#include "plugins/memory/server_bytes.hpp"
 
 #include <algorithm>
 #include <array>
@@ -334,6 +335,7 @@
                              (request->sends > 0 || waited > region_wait_fraction * target);
     input.queue_per_slot = queue_per_slot(state.smoothed_run_seconds, target.count());
     input.servers_per_object = servers_per_object;
+    input.request_bytes = request->message.body.size();
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -369,6 +371,7 @@
     ++request->sends;
     request->tried_servers.push_back(request->server->record.id);
     ++request->server->own_in_flight;
+    request->server->upload_bytes += memory::counted_bytes(request->message.body.size());
     if (request->server->limit)
         record_sent(*request->server->limit, now, m_actions.random);
     if (request->sends == 1)
@@ -436,6 +439,7 @@
 {
     assert(request->server && request->server->own_in_flight > 0);
     --request->server->own_in_flight;
+    request->server->upload_bytes -= memory::counted_bytes(request->message.body.size());
     --state_of(request->service).running;
 }
 
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "plugins/gateway/server_choice.hpp"
 
 #include "plugins/gateway/affinity.hpp"
+#include "plugins/memory/server_bytes.hpp"
 
 #include <algorithm>
 #include <array>
@@ -104,6 +105,7 @@
                 std::function<bool(known_server&)> const& admit_cold_request)
 {
     return has_capacity(server, input.now, input.queue_per_slot) && is_open(server, input.now) &&
+           memory::has_room(server.upload_bytes, input.request_bytes, memory::max_upload_bytes) &&
            (input.now >= server.cold_until || admit_cold_request(server));
 }
 
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -36,6 +36,8 @@
     double queue_per_slot = 0;
     /// Number of servers, in the ranking of the object, that may run the request.
     std::size_t servers_per_object = max_servers_per_object;
+    /// Size of the request's body.
+    std::size_t request_bytes = 0;
     kernel::monotonic_time now;
 };
 
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -501,8 +501,10 @@
     claim.set(0);
     if (!may_reuse)
         close();
-    // An idle connection keeps no memory for its input.
+    // An idle connection keeps no memory for its input, nor its last request.
     buffer = beast::flat_buffer(max_unparsed_bytes);
+    if (may_reuse)
+        text = {};
     // A copy of the handler, since it may destroy this connection's owner or start a new exchange.
     auto const handle = std::exchange(handlers, {}).ended;
     handle(std::move(end));
