--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "plugins/gateway/affinity.hpp"
 #include "plugins/gateway/cold_allowance.hpp"
 #include "plugins/gateway/server_choice.hpp"
+#include "plugins/memory/server_bytes.hpp"
 
 #include <algorithm>
 #include <array>
@@ -300,6 +301,7 @@
     input.servers_per_object = servers_per_object;
     input.is_stable = m_has_stable_placement;
     input.is_last_resort = is_last_resort || waited > last_resort_fraction * target;
+    input.request_bytes = request->message.body.size();
     input.now = now;
     auto chosen = choose_server(m_servers,
                                 *request,
@@ -338,6 +340,7 @@
     record_started(*request, now);
     request->tried_servers.push_back(request->server->record.id);
     ++request->server->own_in_flight;
+    request->server->upload_bytes += memory::counted_bytes(request->message.body.size());
     if (request->server->limit)
         record_sent(*request->server->limit, now, m_actions.random);
     if (request->sends == 1)
@@ -356,6 +359,7 @@
 {
     assert(request->server && request->server->own_in_flight > 0);
     --request->server->own_in_flight;
+    request->server->upload_bytes -= memory::counted_bytes(request->message.body.size());
     --state_of(request->service).running;
 }
 
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "plugins/gateway/server_choice.hpp"
 
 #include "plugins/gateway/affinity.hpp"
+#include "plugins/memory/server_bytes.hpp"
 
 #include <algorithm>
 #include <array>
@@ -102,12 +103,13 @@
 }
 
 bool can_accept(known_server& server,
-                kernel::monotonic_time now,
+                choice_input const& input,
                 double queue_per_slot,
                 std::function<bool(known_server&)> const& admit_cold_request)
 {
-    return has_capacity(server, now, queue_per_slot) && is_open(server, now) &&
-           (now >= server.cold_until || admit_cold_request(server));
+    return has_capacity(server, input.now, queue_per_slot) && is_open(server, input.now) &&
+           memory::has_room(server.upload_bytes, input.request_bytes, memory::max_upload_bytes) &&
+           (input.now >= server.cold_until || admit_cold_request(server));
 }
 
 // Returns the expected finish of a request at the server, with an addition for the slots in use:
@@ -166,7 +168,7 @@
     sort_by_finish(by_load, input);
     for (auto const* const server : by_load)
     {
-        if (can_accept(**server, input.now, input.queue_per_slot, admit_cold_request))
+        if (can_accept(**server, input, input.queue_per_slot, admit_cold_request))
             return *server;
     }
     return nullptr;
--- a/plugins/gateway/server_choice.hpp
+++ b/plugins/gateway/server_choice.hpp
@@ -50,6 +50,8 @@
     /// Whether the request would be refused otherwise. All servers of the object then have the
     /// queue of the rule by load.
     bool is_last_resort = false;
+    /// Size of the request's body.
+    std::size_t request_bytes = 0;
     kernel::monotonic_time now;
 };
 
