gateway: Initialise members of the dispatcher in their order

Change: the order of the initialisers follows the class; one call of can_accept() passes the whole input.

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -111,8 +111,8 @@
     , m_actions(std::move(actions))
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
-    , m_contact(customer::make_contact(m_bounds))
     , m_quotas(m_bounds, metrics)
+    , m_contact(customer::make_contact(m_bounds))
 {
     m_servers.own_domain = own.failure_domain;
     m_servers.own_region = own.gateway->region;
--- a/plugins/gateway/dispatcher_admission.cpp
+++ b/plugins/gateway/dispatcher_admission.cpp
@@ -151,8 +151,8 @@
 {
     auto& state = state_of(request->service);
     bool const has_time = now + min_run_time < request->answer_deadline;
-    auto const servers = has_spare_slots(state) ? max_servers_per_object_with_spare_slots
-                                                : max_servers_per_object;
+    auto const servers =
+        has_spare_slots(state) ? max_servers_per_object_with_spare_slots : max_servers_per_object;
     bool const is_sent = has_time && (has_spare_slots(state) || m_has_stable_placement) &&
                          try_send(request, now, servers, true);
     // The attempt to send it may have refused it for another cause.
--- a/plugins/gateway/server_choice.cpp
+++ b/plugins/gateway/server_choice.cpp
@@ -248,8 +248,7 @@
     for (auto const& server : ranked)
     {
         if (is_permitted_distance(first->proximity, server->proximity, input) &&
-            can_accept(
-                *server, input.now, queue_of_ranked(*first, *server, input), admit_cold_request))
+            can_accept(*server, input, queue_of_ranked(*first, *server, input), admit_cold_request))
             return {server, choice_failure::none, nullptr, first};
     }
     return {nullptr, choice_failure::no_room, first, first};
