--- a/tests/placement/placement_fleet.cpp
+++ b/tests/placement/placement_fleet.cpp
@@ -355,7 +355,7 @@
               constexpr unsigned ok = 200;
               constexpr unsigned unavailable = 503;
               end.received.status = result == attempt_result::answered ? ok : unavailable;
-              end.reported_load = static_cast<double>(load);
+              end.reported_load = gateway::server_load{static_cast<std::uint32_t>(load), 0, {}, {}};
               ended.sender->decisions->attempt_ended(ended.request, std::move(end), m_now);
           });
 }
