--- a/plugins/quota/quota.cpp
+++ b/plugins/quota/quota.cpp
@@ -336,6 +336,9 @@
         {
             customer.filled_at = now;
             customer.fleet_tokens = state.parts.starts_empty ? 0 : capacity_of(state, limit);
+            // All hosts may have restarted, and hear nothing of each other for seconds: without a
+            // first request each of them would refuse small customers for that time.
+            customer.own_tokens = state.parts.saves_whole_request ? 1 : 0;
         }
         else if (limit.requests_per_second < customer.limit.requests_per_second)
         {
--- a/tests/gateway/customers_wire_test.cpp
+++ b/tests/gateway/customers_wire_test.cpp
@@ -189,7 +189,18 @@
     check_forwarded(server.receive_message());
     server.send(answer_to("t1", "bytes"));
     CHECK(has_status(caller.receive_message(), "200"));
+    // A key among the trailers identifies nobody, and does not reach the server either.
     caller.send(chunked("t2", "Authorization: Bearer forged\r\n"));
+    auto const forwarded = server.receive_message();
+    check_forwarded(forwarded);
+    CHECK(forwarded.find("forged") == std::string::npos);
+    server.send(answer_to("t2", "bytes"));
+    CHECK(has_status(caller.receive_message(), "200"));
+    // Without a key in the header a key among the trailers is none.
+    auto keyless = chunked("t3", "Authorization: Bearer 2rry\r\n");
+    std::string const key_line = "Authorization: Bearer 2rry\r\nTransfer";
+    keyless.replace(keyless.find(key_line), key_line.size(), "Transfer");
+    caller.send(keyless);
     CHECK(has_status(caller.receive_message(), "401"));
 }
 
--- a/tests/gateway/quota_test.cpp
+++ b/tests/gateway/quota_test.cpp
@@ -37,7 +37,7 @@
         request->id = "id-" + std::to_string(request->number);
         request->message = {
             "GET", target, {{"Host", "a.example"}, {"Authorization", "Bearer k"}}, ""};
-        request->customer = &m_dispatcher->table()->document.customers->front();
+        request->key = "k";
         request->arrived_at = m_now;
         request->caller_deadline = m_now + seconds(3);
         m_dispatcher->begin(request, m_now);
