--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -111,6 +111,19 @@
     return regions;
 }
 
+admission_rule read_admission(settings_reader& reader)
+{
+    if (reader.find("admission") == nullptr)
+        return admission_rule::by_priority;
+    constexpr auto is_rule = [](std::string_view text)
+    {
+        return text == "by_priority" || text == "fair";
+    };
+    return reader.text("admission", "by_priority or fair", is_rule) == "fair"
+               ? admission_rule::fair
+               : admission_rule::by_priority;
+}
+
 placement_rule read_placement(settings_reader& reader)
 {
     if (reader.find("placement") == nullptr)
@@ -149,6 +162,7 @@
     if (auto const* const resources = reader.find("resources"))
         result.resources = read_resources(*resources, reader.key_path("resources"));
     result.placement = read_placement(reader);
+    result.admission = read_admission(reader);
     reader.refuse_unknown_keys();
     return result;
 }
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -74,6 +74,15 @@
     stable
 };
 
+/// Which waiting request gets a free slot, which are refused, and when their callers return.
+enum class admission_rule
+{
+    /// By the route's priority and arrival; refused on arrival or at the target latency.
+    by_priority,
+    /// Also fair between customers; refused as soon as a request would start too late.
+    fair
+};
+
 /// Settings of the gateway.
 struct gateway_settings
 {
@@ -96,6 +105,7 @@
     gateway_bounds bounds;
     host_resources resources;
     placement_rule placement = placement_rule::by_load;
+    admission_rule admission = admission_rule::by_priority;
 };
 
 } // namespace pistachiohub::kernel
--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -108,6 +108,7 @@
     : m_own_name(own.name)
     , m_bounds(own.gateway->bounds)
     , m_has_stable_placement(own.gateway->placement == kernel::placement_rule::stable)
+    , m_has_fair_admission(own.gateway->admission == kernel::admission_rule::fair)
     , m_actions(std::move(actions))
     , m_metrics(metrics)
     , m_request_log(request_log_lines_per_second)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -296,6 +296,16 @@
     /// Sends waiting requests of the service for which there is a free slot, and refuses those that
     /// have become too late.
     void send_waiting(std::string const& service, kernel::monotonic_time now);
+    /// The same by priority and arrival alone: sends waiting requests, and refuses none.
+    void send_waiting_by_priority(service_state& state, kernel::monotonic_time now);
+    /// Queues a request by priority and arrival, or refuses it if it could not start in time.
+    void enqueue_by_priority(request_pointer const& request, kernel::monotonic_time now);
+    /// Sends a request that would be refused to one of further servers of its object.
+    /// @returns whether it was sent. It may also have been refused.
+    [[nodiscard]] bool send_as_last_resort(request_pointer const& request,
+                                           kernel::monotonic_time now);
+    [[nodiscard]] std::chrono::milliseconds retry_after_by_priority(gateway_request const& request,
+                                                                    kernel::monotonic_time now);
     void
     retry_or_fail(request_pointer const& request, attempt_end&& end, kernel::monotonic_time now);
     [[nodiscard]] bool
@@ -358,6 +368,7 @@
     std::size_t m_region_count = 0;
     kernel::gateway_bounds m_bounds;
     bool m_has_stable_placement = false;
+    bool m_has_fair_admission = false;
     dispatcher_actions m_actions;
     kernel::metrics& m_metrics;
     kernel::log_limiter m_request_log;
--- a/plugins/gateway/dispatcher_admission.cpp
+++ b/plugins/gateway/dispatcher_admission.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -28,6 +29,9 @@
 // Utilisation of the region's servers below which an object may use more of them. It is below the
 // threshold at which objects leave the region, so that copies do not drive them out.
 constexpr double spare_slots_threshold = 0.7;
+// Fraction of the target latency within which a request must be expected to start when it is
+// queued by priority. The rest is for its run.
+constexpr double max_wait_fraction = 0.6;
 constexpr auto min_retry_after = milliseconds(100);
 constexpr auto max_retry_after = milliseconds(2000);
 
@@ -36,6 +40,17 @@
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+// Orders waiting requests by the priority of the customer, that of the route, and arrival.
+bool comes_before(request_pointer const& left, request_pointer const& right)
+{
+    auto const rank = [](gateway_request const& request)
+    {
+        auto const of_customer = request.customer != nullptr ? request.customer->priority : 0;
+        return std::tuple(of_customer, request.route->priority, request.arrived_at);
+    };
+    return rank(*left) < rank(*right);
+}
+
 bool has_spare_slots(service_state const& state)
 {
     auto const& in_region = state.smoothed_utilisation.own_region;
@@ -106,6 +121,12 @@
 void dispatcher::dispatch(request_pointer const& request, kernel::monotonic_time now)
 {
     auto& state = state_of(request->service);
+    if (!m_has_fair_admission)
+    {
+        if (!try_send(request, now) && request->state != request_state::ended)
+            enqueue_by_priority(request, now);
+        return;
+    }
     // Without other requests that wait, the first server with room gets it.
     if (state.waiting.empty() && (try_send(request, now) || request->state == request_state::ended))
         return;
@@ -150,11 +171,7 @@
                                      kernel::monotonic_time now)
 {
     auto& state = state_of(request->service);
-    bool const has_time = now + min_run_time < request->answer_deadline;
-    auto const servers =
-        has_spare_slots(state) ? max_servers_per_object_with_spare_slots : max_servers_per_object;
-    bool const is_sent = has_time && (has_spare_slots(state) || m_has_stable_placement) &&
-                         try_send(request, now, servers, true);
+    bool const is_sent = send_as_last_resort(request, now);
     // The attempt to send it may have refused it for another cause.
     if (is_sent || request->state == request_state::ended)
         return;
@@ -197,7 +214,61 @@
 
 void dispatcher::send_waiting(std::string const& service, kernel::monotonic_time now)
 {
-    pass_queue(state_of(service), nullptr, max_blocked_per_pass, now);
+    auto& state = state_of(service);
+    if (m_has_fair_admission)
+        pass_queue(state, nullptr, max_blocked_per_pass, now);
+    else
+        send_waiting_by_priority(state, now);
+}
+
+void dispatcher::send_waiting_by_priority(service_state& state, kernel::monotonic_time now)
+{
+    std::size_t blocked = 0;
+    for (auto next = state.waiting.begin();
+         next != state.waiting.end() && blocked < max_blocked_per_pass;)
+    {
+        auto const request = *next;
+        // Sending or refusing the request does not change the list, so the iterator stays valid.
+        bool const has_left_queue =
+            try_send(request, now) || request->state == request_state::ended;
+        next = has_left_queue ? state.waiting.erase(next) : std::next(next);
+        blocked += has_left_queue ? 0 : 1;
+    }
+}
+
+void dispatcher::enqueue_by_priority(request_pointer const& request, kernel::monotonic_time now)
+{
+    auto& state = state_of(request->service);
+    assert(request->awaited_server);
+    auto const& server = *request->awaited_server;
+    // The request is already counted as waiting, but does not wait for itself.
+    auto wait_seconds =
+        expected_finish(server, state.smoothed_run_seconds, server.own_queued - 1.0, now).start;
+    if (server.limit)
+        wait_seconds = std::max(wait_seconds, seconds_until_permitted(*server.limit, now));
+    wait_seconds = std::max(wait_seconds, seconds_value(server.paused_until - now).count());
+    auto const waited = seconds_value(now - request->arrived_at).count();
+    auto const target = seconds_value(request->route->target_latency).count();
+    if (state.waiting.size() < max_waiting && waited + wait_seconds <= max_wait_fraction * target &&
+        now + min_run_time < request->answer_deadline)
+    {
+        request->state = request_state::waiting;
+        state.waiting.insert(
+            std::upper_bound(state.waiting.begin(), state.waiting.end(), request, comes_before),
+            request);
+    }
+    else if (!send_as_last_resort(request, now) && request->state != request_state::ended)
+        refuse(request, refusal::no_room, now);
+}
+
+bool dispatcher::send_as_last_resort(request_pointer const& request, kernel::monotonic_time now)
+{
+    auto const& state = state_of(request->service);
+    auto const servers =
+        has_spare_slots(state) ? max_servers_per_object_with_spare_slots : max_servers_per_object;
+    return now + min_run_time < request->answer_deadline &&
+           (has_spare_slots(state) || m_has_stable_placement) &&
+           try_send(request, now, servers, true);
 }
 
 void dispatcher::pass_queue(service_state& state,
@@ -251,6 +322,8 @@
     // Another host probably has its contact with the store.
     if (cause == refusal::stale_configuration)
         return min_retry_after;
+    if (!m_has_fair_admission)
+        return retry_after_by_priority(request, now);
     auto& state = state_of(request.service);
     auto const interval =
         state.smoothed_run_seconds / static_cast<double>(std::max<std::size_t>(state.running, 1));
@@ -272,4 +345,24 @@
                     std::chrono::ceil<milliseconds>(request.awaited_server->paused_until - now));
 }
 
+milliseconds dispatcher::retry_after_by_priority(gateway_request const& request,
+                                                 kernel::monotonic_time now)
+{
+    auto const& state = state_of(request.service);
+    auto const running = static_cast<double>(std::max<std::size_t>(state.running, 1));
+    auto const expected_wait =
+        (static_cast<double>(state.waiting.size()) + 1) * state.smoothed_run_seconds / running;
+    // Jitter spreads the retries of callers that were refused together over the time in which slots
+    // are released.
+    auto const jittered_wait = expected_wait * (0.5 + m_actions.random());
+    auto const wait = std::clamp(std::chrono::ceil<milliseconds>(seconds_value(jittered_wait)),
+                                 min_retry_after,
+                                 max_retry_after);
+    if (!request.awaited_server)
+        return wait;
+    // Whoever comes back during the pause of the server is refused again.
+    return std::max(wait,
+                    std::chrono::ceil<milliseconds>(request.awaited_server->paused_until - now));
+}
+
 } // namespace pistachiohub::gateway
--- a/tests/gateway/overload_fleet.cpp
+++ b/tests/gateway/overload_fleet.cpp
@@ -83,6 +83,7 @@
     own.name = name;
     own.failure_domain = "sve-a";
     own.gateway.emplace();
+    own.gateway->admission = kernel::admission_rule::fair;
     own.gateway->region = "svealand";
     own.gateway->region_of_domain = {{"sve-a", "svealand"}};
     gateway::dispatcher_actions actions;
