gateway: Order the members of known_server without added padding

Cause: clang-tidy found excessive padding behind the bytes of uploads, and an implicit widening in a test.

Change: own_queued stands before upload_bytes; the test multiplies in std::size_t.

Measured: meta/lint passes for the changed files it was run on (not run: dispatcher.cpp, server_connection.cpp, tests/support/raw_connection.cpp). The whole of pistachiohub_tests on: 591 test cases pass. Not run: sanitizers, the hostile tests by ctest (they were run by the script, one after the other, in two lines).

--- a/plugins/gateway/server_table.hpp
+++ b/plugins/gateway/server_table.hpp
@@ -66,10 +66,10 @@
     std::optional<kernel::monotonic_time> missing_since;
     /// Requests that this daemon sent and the server has not answered.
     std::uint32_t own_in_flight = 0;
-    /// Bytes of uploads among those requests.
-    std::size_t upload_bytes = 0;
     /// Requests that are queued in this daemon for a slot of the server.
     std::uint32_t own_queued = 0;
+    /// Bytes of uploads among the requests in flight.
+    std::size_t upload_bytes = 0;
     load_report report;
     /// The server is not chosen before this time, because it refused a request or failed.
     kernel::monotonic_time backoff_until;
--- a/tests/libraries/bounded_parser_test.cpp
+++ b/tests/libraries/bounded_parser_test.cpp
@@ -80,7 +80,7 @@
     auto const piece = GENERATE(1, 8, 16, 100, 8192);
     auto const end = parse("GET / HTTP/1.1\r\n" + repeat("ab:cde\r\n", 10000), piece);
     CHECK(end.failure == beast_http::error::header_limit);
-    CHECK(end.most_memory < 64 * limits.header_bytes);
+    CHECK(end.most_memory < std::size_t{64} * limits.header_bytes);
 }
 
 // Failure: a trailer was kept whole and without a bound until its end, and each of its fields then
