--- a/plugins/gateway/quota_report.cpp
+++ b/plugins/gateway/quota_report.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr char quota_datagram_version = 2;
+// Loads have versions 1 and 2 on the same socket.
+constexpr char quota_datagram_version = 3;
 constexpr unsigned bits_per_byte = 8;
 // Sizes of the fields of the header: version, receiver, sender, session, age of the session in
 // milliseconds, hosts.
--- a/tests/gateway/quota_test.cpp
+++ b/tests/gateway/quota_test.cpp
@@ -1,8 +1,11 @@
+#include "plugins/gateway/load_report.hpp"
 #include "plugins/gateway/quota_report.hpp"
 #include "tests/gateway/dispatcher_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 namespace pistachiohub
 {
 
@@ -89,6 +92,23 @@
         CHECK(status_of(begin("/i/x")) == 0);
 }
 
+// Loads and quotas share a socket. Guards against loads that are taken for quotas, so that no host
+// learns the loads that others receive.
+TEST_CASE("quota_report_and_loads_have_different_versions", "[quota][gateway]")
+{
+    std::array<gateway::shared_load, 1> const loads{{{1, {2, 3, 4, 100}, milliseconds(5)}}};
+    for (auto const& datagram : gateway::encode_loads(loads))
+    {
+        CHECK_FALSE(gateway::is_quota_datagram(datagram));
+        CHECK_FALSE(gateway::decode_quotas(datagram));
+    }
+    for (auto const& datagram : gateway::encode_quotas({}))
+    {
+        CHECK(gateway::is_quota_datagram(datagram));
+        CHECK_FALSE(gateway::decode_loads(datagram));
+    }
+}
+
 // Guards against totals that change on their way, also negative ones after returned tokens.
 TEST_CASE("quota_report_is_decoded_as_encoded", "[quota]")
 {
@@ -135,7 +155,7 @@
               (size == header_size));
     }
     auto other_version = datagram;
-    other_version.front() = 3;
+    other_version.front() = 4;
     CHECK_FALSE(gateway::decode_quotas(other_version));
     auto other_receiver = datagram;
     other_receiver[1] = 9;
