tests: Check the server's side of the repeated request after the join

Cause: ThreadSanitizer reported a data race in concurrent_parts: http_client_repeated_request_ends_in_the_time_of_one used an assertion of the test library on its server thread. Change: the thread stores the result, which the test checks after the join.

--- a/tests/libraries/http_client_test.cpp
+++ b/tests/libraries/http_client_test.cpp
@@ -18,8 +18,10 @@
     limits.read_timeout = timeout;
     support::raw_listener listener;
     http::client client("127.0.0.1", listener.port(), limits);
+    // Checked after the join: assertions of the test library are not safe on two threads.
+    bool is_second_closed = false;
     std::thread server(
-        [&listener]()
+        [&listener, &is_second_closed]()
         {
             auto first = listener.accept();
             static_cast<void>(first.receive_message());
@@ -29,13 +31,14 @@
             first.close();
             auto second = listener.accept();
             static_cast<void>(second.receive_message());
-            CHECK(second.is_closed_by_peer());
+            is_second_closed = second.is_closed_by_peer();
         });
     CHECK(client.send({"GET", "/", {}, {}}).status == 200);
     auto const begin = kernel::monotonic_now();
     CHECK_THROWS_AS(client.send({"GET", "/", {}, {}}), http::timed_out);
     CHECK(kernel::monotonic_now() - begin < timeout * 3 / 2);
     server.join();
+    CHECK(is_second_closed);
 }
 
 } // namespace pistachiohub
