gateway: Let the directory name hosts by capacity

Cause: callers pick each host that the directory names equally often, so a host with a link of 10 Mbit/s got as many requests as one with 200 Mbit/s. Change: gateway.named_hosts, default all. by_capacity leaves out hosts that are small beside the others, with and without a condition on routes for uploads. The loss of one large host affects more callers than before.

--- a/kernel/gateway_settings.cpp
+++ b/kernel/gateway_settings.cpp
@@ -124,6 +124,22 @@
                : admission_rule::by_priority;
 }
 
+directory_rule read_named_hosts(settings_reader& reader)
+{
+    if (reader.find("named_hosts") == nullptr)
+        return directory_rule::all;
+    constexpr auto is_rule = [](std::string_view text)
+    {
+        return text == "all" || text == "by_capacity" || text == "by_capacity_for_uploads";
+    };
+    auto const rule =
+        reader.text("named_hosts", "all, by_capacity or by_capacity_for_uploads", is_rule);
+    if (rule == "all")
+        return directory_rule::all;
+    return rule == "by_capacity" ? directory_rule::by_capacity
+                                 : directory_rule::by_capacity_for_uploads;
+}
+
 placement_rule read_placement(settings_reader& reader)
 {
     if (reader.find("placement") == nullptr)
@@ -163,6 +179,7 @@
         result.resources = read_resources(*resources, reader.key_path("resources"));
     result.placement = read_placement(reader);
     result.admission = read_admission(reader);
+    result.named_hosts = read_named_hosts(reader);
     reader.refuse_unknown_keys();
     return result;
 }
--- a/kernel/gateway_settings.hpp
+++ b/kernel/gateway_settings.hpp
@@ -83,6 +83,18 @@
     fair
 };
 
+/// Which of the live hosts of a failure domain callers are told to use.
+enum class directory_rule
+{
+    /// All of them.
+    all,
+    /// Those whose processor and link are not small beside the others.
+    by_capacity,
+    /// The same while the configuration has routes for uploads, and else all: large bodies pass the
+    /// link of a host twice.
+    by_capacity_for_uploads
+};
+
 /// Settings of the gateway.
 struct gateway_settings
 {
@@ -106,6 +118,7 @@
     host_resources resources;
     placement_rule placement = placement_rule::by_load;
     admission_rule admission = admission_rule::by_priority;
+    directory_rule named_hosts = directory_rule::all;
 };
 
 } // namespace pistachiohub::kernel
--- a/libraries/routing/route.hpp
+++ b/libraries/routing/route.hpp
@@ -48,6 +48,8 @@
     std::uint32_t most_attempts = 1;
     /// Whether a backend server that knows the object answers faster.
     bool has_affinity = false;
+    /// Whether its requests have large bodies.
+    bool carries_uploads = false;
     /// Never empty; a single part has all requests.
     std::vector<split_part> split;
     /// Regions that may serve the route; empty permits all.
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -1,5 +1,7 @@
 #include "plugins/gateway/entry_hosts.hpp"
 
+#include "plugins/gateway/directory_choice.hpp"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -12,18 +14,18 @@
 {
 
 template<class Matches>
-std::vector<kernel::endpoint>
-select_endpoints(host_table const& table, kernel::monotonic_time now, Matches&& matches)
+std::vector<host_candidate>
+find_candidates(host_table const& table, kernel::monotonic_time now, Matches&& matches)
 {
-    std::vector<kernel::endpoint> selected;
+    std::vector<host_candidate> found;
     if (table.is_own_ready && !table.own.is_leaving && matches(table.own))
-        selected.push_back(table.own.callers);
+        found.push_back({table.own.capacity, table.own.callers});
     for (auto const& [name, host] : table.hosts)
     {
         if (is_live(table, host, now) && matches(host.record))
-            selected.push_back(host.record.callers);
+            found.push_back({host.record.capacity, host.record.callers});
     }
-    return selected;
+    return found;
 }
 
 bool is_new_report(known_host const& known, fleet::entry_host const& record)
@@ -263,28 +265,34 @@
 std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
                                                  std::string_view region,
                                                  std::string_view failure_domain,
+                                                 bool is_by_capacity,
                                                  kernel::monotonic_time now)
 {
-    auto selected = select_endpoints(table,
-                                     now,
-                                     [failure_domain](fleet::entry_host const& host)
-                                     {
-                                         return host.failure_domain == failure_domain;
-                                     });
-    if (selected.empty())
-        selected = select_endpoints(table,
-                                    now,
-                                    [region](fleet::entry_host const& host)
-                                    {
-                                        return host.region == region;
-                                    });
-    if (selected.empty())
-        selected = select_endpoints(table,
-                                    now,
-                                    [](fleet::entry_host const&)
-                                    {
-                                        return true;
-                                    });
+    auto found = find_candidates(table,
+                                 now,
+                                 [failure_domain](fleet::entry_host const& host)
+                                 {
+                                     return host.failure_domain == failure_domain;
+                                 });
+    if (found.empty())
+        found = find_candidates(table,
+                                now,
+                                [region](fleet::entry_host const& host)
+                                {
+                                    return host.region == region;
+                                });
+    if (found.empty())
+        found = find_candidates(table,
+                                now,
+                                [](fleet::entry_host const&)
+                                {
+                                    return true;
+                                });
+    if (is_by_capacity)
+        found = select_by_capacity(std::move(found));
+    std::vector<kernel::endpoint> selected;
+    for (auto const& host : found)
+        selected.push_back(host.callers);
     selected.resize(std::min(selected.size(), max_listed_hosts));
     return selected;
 }
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -110,10 +110,12 @@
 
 /// Chooses the live entry hosts that a caller is given: those of its failure domain, or if there
 /// are none, those of its region, or else all.
+/// @param is_by_capacity whether hosts that are small beside the others are left out.
 /// @returns the addresses of at most `max_listed_hosts` hosts.
 [[nodiscard]] std::vector<kernel::endpoint> choose_entry_hosts(host_table const& table,
                                                                std::string_view region,
                                                                std::string_view failure_domain,
+                                                               bool is_by_capacity,
                                                                kernel::monotonic_time now);
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -12,6 +12,7 @@
 #include "libraries/http/server.hpp"
 #include "libraries/interface/interface.hpp"
 #include "plugins/gateway/caller_server.hpp"
+#include "plugins/gateway/directory_choice.hpp"
 #include "plugins/gateway/dispatcher.hpp"
 #include "plugins/gateway/load_exchange.hpp"
 #include "plugins/gateway/server_connection_pool.hpp"
@@ -471,8 +472,13 @@
         try
         {
             auto const query = m_interface.decode_directory_query(wanted.query);
+            auto const& table = m_dispatcher.table();
             auto const hosts = choose_entry_hosts(
-                m_dispatcher.hosts(), query.region, query.failure_domain, kernel::monotonic_now());
+                m_dispatcher.hosts(),
+                query.region,
+                query.failure_domain,
+                names_by_capacity(m_settings.named_hosts, table ? &table->document : nullptr),
+                kernel::monotonic_now());
             if (hosts.empty())
                 return {http_unavailable, "{\"reason\":\"no_entry_host\"}"};
             auto const time_to_live =
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -125,7 +125,8 @@
 
     [[nodiscard]] std::size_t listed_count(std::string const& domain) const
     {
-        return gateway::choose_entry_hosts(m_table, domain.substr(0, 3), domain, m_now).size();
+        return gateway::choose_entry_hosts(m_table, domain.substr(0, 3), domain, false, m_now)
+            .size();
     }
 };
 
@@ -369,7 +370,7 @@
     auto host = make_host("host-b", "sve-b", 1);
     apply_record(host);
     m_now += gateway::host_timeout;
-    CHECK(gateway::choose_entry_hosts(m_table, "sve", "sve-b", m_now).size() == 1);
+    CHECK(gateway::choose_entry_hosts(m_table, "sve", "sve-b", false, m_now).size() == 1);
     CHECK_FALSE(gateway::is_live(m_table, m_table.hosts.at("host-b"), m_now));
     host.report = 2;
     apply_record(host);
--- a/tests/kernel/output_test.cpp
+++ b/tests/kernel/output_test.cpp
@@ -140,6 +140,23 @@
     CHECK_THROWS_AS(parse(R"("placement": "Stable", )"), kernel::settings_error);
 }
 
+// Guards against a directory that leaves out hosts of deployments which do not ask for it.
+TEST_CASE("settings_of_a_gateway_name_all_hosts_unless_set", "[kernel]")
+{
+    auto const parse = [](std::string const& member)
+    {
+        return kernel::parse_settings(
+                   replace(gateway_text, R"("bounds": {)", member + R"("bounds": {)"))
+            .gateway->named_hosts;
+    };
+    CHECK(parse("") == kernel::directory_rule::all);
+    CHECK(parse(R"("named_hosts": "all", )") == kernel::directory_rule::all);
+    CHECK(parse(R"("named_hosts": "by_capacity", )") == kernel::directory_rule::by_capacity);
+    CHECK(parse(R"("named_hosts": "by_capacity_for_uploads", )") ==
+          kernel::directory_rule::by_capacity_for_uploads);
+    CHECK_THROWS_AS(parse(R"("named_hosts": "large", )"), kernel::settings_error);
+}
+
 TEST_CASE("settings_of_a_gateway_bad_value_names_key_and_range", "[kernel]")
 {
     auto const bad = GENERATE(replace(gateway_text, "\"shift\": 0.15", "\"shift\": 1.5"),
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -113,6 +113,8 @@
     auto const text = replace(configuration_text, "\"idempotent\"", "\"upload\"");
     auto const decoded = platform::decode_configuration(make_object(text));
     CHECK(decoded.routes.at(0).kind == routing::request_kind::at_most_once);
+    CHECK(decoded.routes.at(0).carries_uploads);
+    CHECK_FALSE(decoded.routes.at(1).carries_uploads);
     CHECK(decoded.unreadable.empty());
 }
 
