discovery: Let one caller of a daemon probe a store that is away

Cause: during an outage each of the four kinds of a host repeated its calls every 0.375 s on average, and the registration wrote every 1.5 s.

A reader calls until a call of its own fails, so whether the store is away is still judged for each kind. Then one caller at a time probes; pauses grow from 0.1 s to 1 s, and the caller that has not called for the longest time has the turn. The first answer resumes all callers. The registration probes only, except for crashes and for the leaving of the host. Meanwhile a follower asks its reader whatever the age, since no time is lost.

Ruled out: a single fixed prober. A store that refuses only its kind would keep the other kinds away.

--- a/plugins/discovery/feed_plan.cpp
+++ b/plugins/discovery/feed_plan.cpp
@@ -14,6 +14,9 @@
 constexpr auto relay_avoidance = milliseconds(1000);
 // A watch that answers at once.
 constexpr auto no_wait = milliseconds(1);
+// Longest wait for a change of another daemon while the store is away: after its return the store
+// is called within this time.
+constexpr auto longest_wait_without_store = milliseconds(250);
 
 /// @returns how long another daemon may be waited for a change, or a negative time if the store
 /// must be asked now.
@@ -31,6 +34,12 @@
     return rhythm.answer_due - store_time - age - timeouts * rhythm.relay_timeout;
 }
 
+bool can_ask_relay(feed_progress const& progress, relay_connection relay, kernel::boot_time now)
+{
+    return relay != relay_connection::none && progress.has_list &&
+           now >= progress.relay_avoided_until;
+}
+
 } // namespace
 
 planned_read plan_read(feed_progress const& progress,
@@ -38,7 +47,7 @@
                        relay_connection relay,
                        kernel::boot_time now)
 {
-    if (relay != relay_connection::none && progress.has_list && now >= progress.relay_avoided_until)
+    if (can_ask_relay(progress, relay, now))
     {
         auto const spare = spare_time(progress, rhythm, relay, now);
         if (spare >= milliseconds(0))
@@ -48,6 +57,17 @@
     return {read_source::store, must_hurry ? no_wait : rhythm.watch_wait, must_hurry};
 }
 
+std::optional<planned_read> plan_read_without_store(feed_progress const& progress,
+                                                    feed_rhythm const& rhythm,
+                                                    relay_connection relay,
+                                                    kernel::boot_time now)
+{
+    if (!can_ask_relay(progress, relay, now))
+        return std::nullopt;
+    auto const wait = std::min(rhythm.relay_wait, longest_wait_without_store);
+    return planned_read{read_source::relay, wait, false};
+}
+
 kernel::boot_time next_read_at(feed_progress const& progress,
                                feed_rhythm const& rhythm,
                                relay_connection relay,
@@ -70,6 +90,11 @@
     progress.must_catch_up = true;
 }
 
+void note_store_failure(feed_progress& progress)
+{
+    progress.must_catch_up = true;
+}
+
 void note_store_answer(feed_progress& progress,
                        bool is_list,
                        kernel::boot_time asked_at,
--- a/plugins/discovery/feed_plan.hpp
+++ b/plugins/discovery/feed_plan.hpp
@@ -7,6 +7,7 @@
 #include "plugins/discovery/rhythm.hpp"
 
 #include <chrono>
+#include <optional>
 
 namespace pistachiohub::discovery
 {
@@ -65,6 +66,14 @@
                                      relay_connection relay,
                                      kernel::boot_time now);
 
+/// Decides on the next read while the store must not be called. Another daemon is asked whatever
+/// time is left: nothing is lost if it does not answer.
+/// @returns nothing if no daemon can be asked.
+[[nodiscard]] std::optional<planned_read> plan_read_without_store(feed_progress const& progress,
+                                                                  feed_rhythm const& rhythm,
+                                                                  relay_connection relay,
+                                                                  kernel::boot_time now);
+
 /// @param asked_at begin of the call of the store that has ended.
 /// @returns when the next read is due. Only calls of the store are spaced: another daemon is asked
 /// as soon as possible, since there is less time left for it as the knowledge ages.
@@ -80,6 +89,10 @@
 /// Notes that another daemon failed, or has nothing to tell.
 void note_relay_failure(feed_progress& progress, kernel::boot_time now);
 
+/// Notes a call of the store that failed. The next one does not wait for a change, since its answer
+/// ends the outage.
+void note_store_failure(feed_progress& progress);
+
 /// Notes an answer of the store.
 /// @param is_list whether all objects were listed.
 /// @param asked_at begin of the call.
--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -9,10 +9,12 @@
 #include "libraries/object_store/object_store.hpp"
 #include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/report_interval.hpp"
+#include "plugins/discovery/store_probe.hpp"
 #include "plugins/store/newest_generation.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <algorithm>
+#include <random>
 
 namespace pistachiohub::discovery
 {
@@ -25,6 +27,7 @@
 
 constexpr auto call_timeout = milliseconds(1000);
 constexpr int start_order = 115;
+constexpr std::string_view caller_name = "registration";
 // How soon a report is due again after the reader was lost, or the daemon leaves.
 constexpr auto check_interval = milliseconds(250);
 // Pause after a failed report to a restored store, which all hosts write to at the same time.
@@ -63,7 +66,14 @@
         , m_followers(context.shared<relay_followers>())
         , m_crashes(context.shared<kernel::snapshot<fleet::crash_knowledge>>())
         , m_newest_generation(context.shared<store::newest_generation>())
+        , m_probe(context.shared<store_probe>())
     {
+        m_probe.add(caller_name,
+                    caller_role::writer,
+                    [this]()
+                    {
+                        m_signal.wake();
+                    });
         context.on_drain(
             [this]()
             {
@@ -71,11 +81,24 @@
             });
     }
 
+    ~host_registration() override
+    {
+        m_probe.remove(caller_name);
+    }
+
+    host_registration(host_registration const&) = delete;
+    host_registration& operator=(host_registration const&) = delete;
+
     void run() override
     {
         while (!m_signal.is_stopping())
         {
-            if (is_due(kernel::monotonic_now()))
+            auto const now = kernel::boot_clock::now();
+            bool const is_urgent = has_urgent_news();
+            if (is_urgent)
+                m_probe.begin(caller_name, now);
+            if (is_urgent ||
+                (is_due(kernel::monotonic_now()) && m_probe.try_begin(caller_name, now)))
                 write();
             m_signal.wait_until(kernel::monotonic_now() + check_interval);
         }
@@ -88,8 +111,8 @@
     }
 
 private:
-    // A daemon from which this one reads reports it too. Crashes cannot wait.
-    [[nodiscard]] bool is_due(kernel::monotonic_time now)
+    // Crashes and the leaving of this host cannot wait for other callers of the store.
+    [[nodiscard]] bool has_urgent_news()
     {
         auto const* const crashes = m_crashes.get();
         if (crashes != nullptr && *crashes != m_record.crashes)
@@ -97,7 +120,13 @@
             m_record.crashes = *crashes;
             return true;
         }
-        if (m_record.report == 0 || m_record.is_leaving != m_context.is_draining())
+        return m_record.is_leaving != m_context.is_draining();
+    }
+
+    // A daemon from which this one reads reports it too.
+    [[nodiscard]] bool is_due(kernel::monotonic_time now) const
+    {
+        if (m_record.report == 0)
             return true;
         // The store was restored from an older copy, which may lack the last report.
         if (object_store::is_other_generation(m_written_generation, m_newest_generation.value()) &&
@@ -133,6 +162,12 @@
             m_version = result.version;
             m_written_generation = result.generation;
         }
+        bool const is_answered = result.end == status::ok || result.end == status::conflict ||
+                                 result.end == status::missing;
+        m_probe.end(caller_name,
+                    is_answered,
+                    std::uniform_real_distribution<double>(0, 1)(m_random),
+                    kernel::boot_clock::now());
         log_change(result.end);
     }
 
@@ -200,6 +235,8 @@
     relay_followers& m_followers;
     kernel::snapshot_reader<fleet::crash_knowledge> m_crashes;
     store::newest_generation& m_newest_generation;
+    store_probe& m_probe;
+    std::mt19937_64 m_random{std::random_device{}()};
     /// Generation of the store that acknowledged the last report; 0 if it is unknown.
     std::uint64_t m_written_generation = 0;
     kernel::monotonic_time m_reported_at;
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -18,12 +18,9 @@
 // A store that answers in milliseconds is far past its usual time by then.
 constexpr auto read_timeout = milliseconds(1500);
 constexpr auto connect_timeout = milliseconds(700);
-// Pauses between failed calls. They stay short, because changes must be in force within seconds of
-// the store's return.
-constexpr auto shortest_pause = milliseconds(100);
-constexpr auto longest_pause = milliseconds(500);
+// The permission to call the store is looked at again after this time, also without a wake-up.
+constexpr auto permission_check = milliseconds(500);
 constexpr auto delivery_retry = milliseconds(10);
-constexpr unsigned most_doublings = 3;
 
 http::client_limits make_limits()
 {
@@ -33,14 +30,6 @@
     return limits;
 }
 
-kernel::duration pause_after(unsigned failures, double random)
-{
-    auto const full =
-        std::min(shortest_pause * (1U << std::min(failures - 1, most_doublings)), longest_pause);
-    return std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>(full) *
-                                                        (0.5 + random / 2));
-}
-
 } // namespace
 
 object_feed::object_feed(kernel::daemon_context& context,
@@ -57,9 +46,21 @@
     , m_gateway(context.shared<kernel::mailbox<events::gateway_event>>())
     , m_histories(context.shared<feed_histories>())
     , m_newest_generation(context.shared<store::newest_generation>())
+    , m_probe(context.shared<store_probe>())
     , m_relay(context.shared<kernel::snapshot<fleet::relay_choice>>())
     , m_client(context.own_settings().store, make_limits(), spoken.store)
 {
+    m_probe.add(m_kind,
+                caller_role::reader,
+                [this]()
+                {
+                    m_signal.wake();
+                });
+}
+
+object_feed::~object_feed()
+{
+    m_probe.remove(m_kind);
 }
 
 void object_feed::run()
@@ -82,12 +83,31 @@
     auto const* const relay = m_relay.get();
     if (connection_to(relay) == relay_connection::none && m_relay_client)
         close_relay_client();
-    auto const planned =
-        plan_read(m_progress, m_rhythm, connection_to(relay), kernel::boot_clock::now());
-    if (planned.source == read_source::relay)
-        poll_relay(*relay, planned.wait);
+    auto const planned = begin_read(relay);
+    if (!planned)
+        wait_for_permission(relay);
+    else if (planned->source == read_source::relay)
+        poll_relay(*relay, planned->wait);
     else
-        poll_store(planned);
+        poll_store(*planned);
+}
+
+std::optional<planned_read> object_feed::begin_read(fleet::relay_choice const* relay)
+{
+    auto const now = kernel::boot_clock::now();
+    auto const planned = plan_read(m_progress, m_rhythm, connection_to(relay), now);
+    if (planned.source == read_source::relay || m_probe.try_begin(m_kind, now))
+        return planned;
+    return plan_read_without_store(m_progress, m_rhythm, connection_to(relay), now);
+}
+
+void object_feed::wait_for_permission(fleet::relay_choice const* relay)
+{
+    auto const now = kernel::boot_clock::now();
+    auto until = std::min(m_probe.permitted_at(m_kind), now + permission_check);
+    if (connection_to(relay) != relay_connection::none && m_progress.has_list)
+        until = std::min(until, m_progress.relay_avoided_until);
+    m_signal.wait_until(kernel::monotonic_now() + (until - now));
 }
 
 // A connection that is no longer used counts against those that the other daemon accepts.
@@ -158,6 +178,11 @@
         is_complete ? m_client.list(m_kind) : m_client.watch(m_kind, *m_position, planned.wait);
     count_read("store", read.end);
     m_newest_generation.note(read.generation);
+    bool const is_answered = read.end == status::ok || read.end == status::history_gone;
+    m_probe.end(m_kind,
+                is_answered,
+                std::uniform_real_distribution<double>(0, 1)(m_random),
+                kernel::boot_clock::now());
     if (read.end != status::ok)
         return handle_failure(read.end, asked_at);
     note_store_answer(m_progress, is_complete, asked_at, kernel::boot_clock::now());
@@ -223,11 +248,10 @@
         return;
     }
     ++m_failures;
+    note_store_failure(m_progress);
     note_failure(m_contact, begun_at);
     if (!m_signal.is_stopping())
         report_contact(end);
-    auto const random = std::uniform_real_distribution<double>(0, 1)(m_random);
-    m_signal.wait_until(kernel::monotonic_now() + pause_after(m_failures, random));
 }
 
 void object_feed::note_contact(kernel::boot_time begun_at)
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -14,6 +14,7 @@
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/feed_plan.hpp"
 #include "plugins/discovery/rhythm.hpp"
+#include "plugins/discovery/store_probe.hpp"
 #include "plugins/store/newest_generation.hpp"
 #include "plugins/store/wake_signal.hpp"
 
@@ -47,12 +48,20 @@
                 feed_rhythm const& rhythm,
                 convert_function convert,
                 confirmed_function confirmed);
+    ~object_feed() override;
+
+    object_feed(object_feed const&) = delete;
+    object_feed& operator=(object_feed const&) = delete;
 
     void run() override;
     void request_stop() override;
 
 private:
     void poll();
+    /// @returns the next read, which has begun if the store is called; nothing if neither the store
+    /// nor another daemon may be asked now.
+    [[nodiscard]] std::optional<planned_read> begin_read(fleet::relay_choice const* relay);
+    void wait_for_permission(fleet::relay_choice const* relay);
     void poll_store(planned_read const& planned);
     void poll_relay(fleet::relay_choice const& relay, std::chrono::milliseconds wait);
     void close_relay_client();
@@ -84,6 +93,7 @@
     kernel::mailbox<events::gateway_event>& m_gateway;
     feed_histories& m_histories;
     store::newest_generation& m_newest_generation;
+    store_probe& m_probe;
     kernel::snapshot_reader<fleet::relay_choice> m_relay;
     object_store::client m_client;
     /// Guards the pointer, which request_stop() reads from another thread.
--- a/tests/discovery/store_calls_test.cpp
+++ b/tests/discovery/store_calls_test.cpp
@@ -1,8 +1,8 @@
-#include "plugins/discovery/contact_record.hpp"
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/feed_plan.hpp"
 #include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/report_interval.hpp"
+#include "plugins/discovery/store_probe.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
 
 #include <catch2/catch.hpp>
@@ -58,12 +58,11 @@
 
 struct played_feed
 {
+    std::string name;
     discovery::feed_rhythm rhythm{};
     milliseconds bound{0};
     discovery::feed_progress progress;
     discovery::kind_history history;
-    discovery::contact_record contact;
-    unsigned failures = 0;
     phase doing = phase::idle;
     bool lists = false;
     bool is_refused = false;
@@ -80,6 +79,7 @@
     gateway::host_table table;
     std::vector<played_feed> feeds;
     discovery::relay_followers followers;
+    discovery::probe_state probe;
     std::optional<std::size_t> reader;
     fleet::entry_host record;
     std::uint64_t written_at = 0;
@@ -125,6 +125,7 @@
             host.record.relay_port = 1;
             host.record.incarnation = 1;
             host.table.own = host.record;
+            host.probe.callers["registration"].role = discovery::caller_role::writer;
             add_feed(host, discovery::configuration_rhythm(bounds), bounds.configuration_apply);
             add_feed(host, discovery::server_rhythm(bounds), bounds.server_drain);
             add_feed(host, discovery::evacuation_rhythm(bounds), bounds.evacuation);
@@ -158,6 +159,8 @@
         auto& feed = host.feeds.emplace_back();
         feed.rhythm = rhythm;
         feed.bound = bound;
+        feed.name = std::to_string(host.feeds.size());
+        host.probe.callers[feed.name];
     }
 
     static std::string name_of(std::size_t number)
@@ -239,6 +242,9 @@
             is_known ? discovery::follower_report_interval : discovery::report_interval;
         if (host.record.report != 0 && m_now - host.reported_at < interval)
             return;
+        if (m_now < call_permitted_at(host.probe, "registration"))
+            return;
+        begin_call(host.probe, "registration", m_now);
         ++calls.reports;
         ++host.record.report;
         host.reported_at = m_now;
@@ -246,14 +252,41 @@
         host.is_report_written = !is_refused(number);
         if (host.is_report_written)
             host.written_at = m_revision;
+        end_call(host, "registration", host.is_report_written);
+    }
+
+    void end_call(played_host& host, std::string_view caller, bool is_answered)
+    {
+        auto const random = draw(0, 100) / 100.0;
+        for (auto const& name : discovery::end_call(host.probe, caller, is_answered, random, m_now))
+        {
+            for (auto& feed : host.feeds)
+            {
+                if (feed.name == name && feed.doing == phase::idle)
+                    feed.due_at = m_now;
+            }
+        }
+    }
+
+    /// @returns the next read as the feed plans it; nothing if it must wait.
+    std::optional<discovery::planned_read> plan(played_host& host, played_feed& feed)
+    {
+        auto const state = connection_of(host, feed);
+        auto const planned = plan_read(feed.progress, feed.rhythm, state, m_now);
+        if (planned.source == read_source::relay ||
+            m_now >= call_permitted_at(host.probe, feed.name))
+            return planned;
+        return plan_read_without_store(feed.progress, feed.rhythm, state, m_now);
     }
 
     void begin_read(std::size_t number, std::size_t kind)
     {
         auto& host = m_hosts[number];
         auto& feed = host.feeds[kind];
-        auto const state = connection_of(host, feed);
-        auto const planned = plan_read(feed.progress, feed.rhythm, state, m_now);
+        auto const permitted = plan(host, feed);
+        if (!permitted)
+            return;
+        auto const planned = *permitted;
         feed.asked_at = m_now;
         if (planned.source == read_source::relay)
         {
@@ -265,6 +298,7 @@
             return;
         }
         feed.doing = phase::asking_store;
+        begin_call(host.probe, feed.name, m_now);
         feed.lists = !feed.progress.has_list;
         ++(feed.lists ? calls.lists : calls.reads);
         feed.is_refused = is_refused(number);
@@ -286,13 +320,10 @@
         feed.doing = phase::idle;
         if (feed.is_refused)
         {
-            note_failure(feed.contact, feed.asked_at);
-            auto const full = std::min(100 << std::min(feed.failures++, 3U), 500);
-            feed.due_at = m_now + milliseconds(draw(full / 2, full));
-            return;
+            note_store_failure(feed.progress);
+            return end_call(host, feed.name, false);
         }
-        note_answer(feed.contact, feed.asked_at);
-        feed.failures = 0;
+        end_call(host, feed.name, true);
         note_store_answer(feed.progress, feed.lists, feed.asked_at, m_now);
         accept(host, kind, m_revision, true, feed.asked_at);
         feed.due_at =
@@ -350,9 +381,6 @@
             return note_relay_failure(feed.progress, m_now);
         auto const confirmed_at = std::min(told.confirmed_at, feed.asked_at);
         note_relay_answer(feed.progress, confirmed_at);
-        note_answer(feed.contact, confirmed_at);
-        if (!is_store_away(feed.contact))
-            feed.failures = 0;
         host.followers.note_answer(m_now);
         accept(host, kind, told.revision, false, confirmed_at);
     }
--- /dev/null
+++ b/tests/discovery/store_probe_test.cpp
@@ -0,0 +1,121 @@
+#include "plugins/discovery/feed_plan.hpp"
+#include "plugins/discovery/store_probe.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace pistachiohub
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+class probe_fixture
+{
+protected:
+    discovery::probe_state m_state;
+    kernel::boot_time m_now{std::chrono::hours(1)};
+
+    probe_fixture()
+    {
+        m_state.callers["registration"].role = discovery::caller_role::writer;
+        for (auto const* const kind : {"configuration", "servers", "evacuations", "hosts"})
+            m_state.callers[kind];
+    }
+
+    [[nodiscard]] bool may_call(std::string_view caller) const
+    {
+        return m_now >= call_permitted_at(m_state, caller);
+    }
+
+    std::vector<std::string> call(std::string_view caller, bool is_answered)
+    {
+        begin_call(m_state, caller, m_now);
+        m_now += milliseconds(5);
+        return end_call(m_state, caller, is_answered, 1, m_now);
+    }
+
+    void fail_all()
+    {
+        for (auto const* const kind : {"configuration", "servers", "evacuations", "hosts"})
+            call(kind, false);
+    }
+
+    /// @returns the number of calls that all callers make in the time.
+    std::size_t play(milliseconds time)
+    {
+        std::size_t calls = 0;
+        for (auto const end = m_now + time; m_now < end; m_now += milliseconds(5))
+        {
+            for (auto const& [name, known] : m_state.callers)
+            {
+                if (!may_call(name))
+                    continue;
+                call(name, false);
+                ++calls;
+            }
+        }
+        return calls;
+    }
+};
+
+} // namespace
+
+// Guards against an outage in which each kind repeats its calls.
+TEST_CASE_METHOD(probe_fixture, "store_probe_long_outage_has_one_call_a_second", "[discovery]")
+{
+    fail_all();
+    CHECK_FALSE(may_call("registration"));
+    play(milliseconds(2000));
+    CHECK(play(milliseconds(10000)) <= 11);
+}
+
+// Guards against kinds that stay out of date after the return of the store.
+TEST_CASE_METHOD(probe_fixture, "store_probe_first_answer_resumes_all_callers", "[discovery]")
+{
+    fail_all();
+    play(milliseconds(5000));
+    m_now += milliseconds(1000);
+    begin_call(m_state, "servers", m_now);
+    CHECK_FALSE(may_call("configuration"));
+    m_now += milliseconds(5);
+    CHECK(end_call(m_state, "servers", true, 1, m_now).size() == 4);
+    for (auto const& [name, known] : m_state.callers)
+        CHECK(may_call(name));
+}
+
+// Guards against a kind that is refused alone, and keeps others from the store or from a probe.
+TEST_CASE_METHOD(probe_fixture, "store_probe_one_refused_kind_does_not_delay_others", "[discovery]")
+{
+    call("servers", false);
+    CHECK(may_call("configuration"));
+    CHECK(call("configuration", true) == std::vector<std::string>{"registration", "servers"});
+    call("servers", false);
+    call("configuration", false);
+    m_now += milliseconds(200);
+    call("servers", false);
+    m_now = call_permitted_at(m_state, "configuration");
+    CHECK(m_now - m_state.next_probe_at < milliseconds(50));
+    CHECK_FALSE(may_call("servers"));
+}
+
+// Guards against a host that the store alone refuses, and that no longer asks its reader because
+// what it knows is old.
+TEST_CASE("feed_plan_without_store_asks_the_relay_at_any_age", "[discovery]")
+{
+    auto const rhythm = discovery::server_rhythm({});
+    discovery::feed_progress progress;
+    kernel::boot_time const now{std::chrono::hours(1)};
+    auto const open = discovery::relay_connection::open;
+    CHECK_FALSE(plan_read_without_store(progress, rhythm, open, now));
+    progress.has_list = true;
+    REQUIRE(plan_read_without_store(progress, rhythm, open, now));
+    CHECK(plan_read(progress, rhythm, open, now).source == discovery::read_source::store);
+    CHECK(plan_read_without_store(progress, rhythm, open, now)->source ==
+          discovery::read_source::relay);
+    note_relay_failure(progress, now);
+    CHECK_FALSE(plan_read_without_store(progress, rhythm, open, now));
+}
+
+} // namespace pistachiohub
