discovery: Let a daemon that has started ask its reader at once

Cause: a daemon that started read the store itself for about 3 s, until it had seen a second report of its reader.

Hosts in the first list may be readers for 3.6 s before their reports are seen. plan_read() keeps the bounds whatever the asked host does, and asking a host that is gone costs no more calls than not asking. A reader that started later than its follower has a gap in its history; it is asked again after one call of the store instead of 1 s. A second gap in a row costs 1 s as before, so another generation does not cause a loop.

--- a/plugins/discovery/feed_plan.cpp
+++ b/plugins/discovery/feed_plan.cpp
@@ -1,6 +1,7 @@
 #include "plugins/discovery/feed_plan.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pistachiohub::discovery
 {
@@ -12,6 +13,10 @@
 
 // Time for which a daemon that failed is not asked again.
 constexpr auto relay_avoidance = milliseconds(1000);
+// Time for which a daemon with a gap is not asked, so that the store is called between.
+constexpr auto relay_gap_avoidance = milliseconds(50);
+// The first list of hosts is read by then, unless the store is slow.
+constexpr auto longest_choice_wait = milliseconds(250);
 // A watch that answers at once.
 constexpr auto no_wait = milliseconds(1);
 // Longest wait for a change of another daemon while the store is away: after its return the store
@@ -36,8 +41,8 @@
 
 bool can_ask_relay(feed_progress const& progress, relay_connection relay, kernel::boot_time now)
 {
-    return relay != relay_connection::none && progress.has_list &&
-           now >= progress.relay_avoided_until;
+    bool const is_chosen = relay == relay_connection::open || relay == relay_connection::closed;
+    return is_chosen && progress.has_list && now >= progress.relay_avoided_until;
 }
 
 } // namespace
@@ -74,6 +79,8 @@
                                kernel::boot_time asked_at)
 {
     auto const spaced = asked_at + rhythm.spacing;
+    if (relay == relay_connection::undecided)
+        return std::max(spaced, asked_at + std::min(rhythm.relay_wait, longest_choice_wait));
     return relay == relay_connection::none ? spaced
                                            : std::min(spaced, progress.relay_avoided_until);
 }
@@ -82,6 +89,7 @@
 {
     progress.known_until = std::max(progress.known_until, confirmed_at);
     progress.reads_relay = true;
+    progress.had_relay_gap = false;
 }
 
 void note_relay_failure(feed_progress& progress, kernel::boot_time now)
@@ -90,6 +98,13 @@
     progress.must_catch_up = true;
 }
 
+void note_relay_gap(feed_progress& progress, kernel::boot_time now)
+{
+    note_relay_failure(progress, now);
+    if (!std::exchange(progress.had_relay_gap, true))
+        progress.relay_avoided_until = now + relay_gap_avoidance;
+}
+
 void note_store_failure(feed_progress& progress)
 {
     progress.must_catch_up = true;
--- a/plugins/discovery/feed_plan.hpp
+++ b/plugins/discovery/feed_plan.hpp
@@ -22,6 +22,8 @@
     std::chrono::milliseconds list_time{0};
     /// Another daemon is not asked before this time, because it failed.
     kernel::boot_time relay_avoided_until;
+    /// Whether another daemon had a gap since its latest answer.
+    bool had_relay_gap = false;
     /// Whether all objects were listed, so that changes can be asked for.
     bool has_list = false;
     /// Whether changes may have been missed, so that the store must be asked without waiting.
@@ -51,6 +53,8 @@
 /// The connection to the daemon that is to be asked.
 enum class relay_connection
 {
+    /// The hosts were not listed yet, so no daemon is chosen. The store is read.
+    undecided,
     /// This daemon is to read the store itself.
     none,
     /// A daemon is chosen, and must be connected to first.
@@ -76,7 +80,8 @@
 
 /// @param asked_at begin of the call of the store that has ended.
 /// @returns when the next read is due. Only calls of the store are spaced: another daemon is asked
-/// as soon as possible, since there is less time left for it as the knowledge ages.
+/// as soon as possible, since there is less time left for it as the knowledge ages. While none is
+/// chosen, a short pause saves calls of a daemon that starts.
 [[nodiscard]] kernel::boot_time next_read_at(feed_progress const& progress,
                                              feed_rhythm const& rhythm,
                                              relay_connection relay,
@@ -89,6 +94,11 @@
 /// Notes that another daemon failed, or has nothing to tell.
 void note_relay_failure(feed_progress& progress, kernel::boot_time now);
 
+/// Notes that another daemon does not know all changes since the position of this one. It has
+/// started later than this one, or reads another generation of the store. In the first case it can
+/// tell the changes after one call of the store.
+void note_relay_gap(feed_progress& progress, kernel::boot_time now);
+
 /// Notes a call of the store that failed. The next one does not wait for a change, since its answer
 /// ends the outage.
 void note_store_failure(feed_progress& progress);
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -20,6 +20,8 @@
 constexpr auto connect_timeout = milliseconds(700);
 // The permission to call the store is looked at again after this time, also without a wake-up.
 constexpr auto permission_check = milliseconds(500);
+// How soon a daemon that starts notices that it was told where to read.
+constexpr auto choice_check = milliseconds(20);
 constexpr auto delivery_retry = milliseconds(10);
 
 http::client_limits make_limits()
@@ -105,7 +107,7 @@
 {
     auto const now = kernel::boot_clock::now();
     auto until = std::min(m_probe.permitted_at(m_kind), now + permission_check);
-    if (connection_to(relay) != relay_connection::none && m_progress.has_list)
+    if (relay != nullptr && !relay->host.empty() && m_progress.has_list)
         until = std::min(until, m_progress.relay_avoided_until);
     m_signal.wait_until(kernel::monotonic_now() + (until - now));
 }
@@ -119,7 +121,9 @@
 
 relay_connection object_feed::connection_to(fleet::relay_choice const* relay) const
 {
-    if (relay == nullptr || relay->host.empty())
+    if (relay == nullptr)
+        return relay_connection::undecided;
+    if (relay->host.empty())
         return relay_connection::none;
     bool const is_open = m_relay_client && m_relay_address == relay->address;
     return is_open ? relay_connection::open : relay_connection::closed;
@@ -144,7 +148,10 @@
     }
     if (read.end == status::cancelled)
         return;
-    note_relay_failure(m_progress, kernel::boot_clock::now());
+    if (read.end == status::history_gone)
+        note_relay_gap(m_progress, kernel::boot_clock::now());
+    else
+        note_relay_failure(m_progress, kernel::boot_clock::now());
     kernel::log_event(kernel::log_level::info,
                       "discovery",
                       "relay_left",
@@ -195,8 +202,22 @@
                                                 : events::read_kind::list,
                read,
                asked_at);
-    auto const next_at = next_read_at(m_progress, m_rhythm, connection_to(m_relay.get()), asked_at);
-    m_signal.wait_until(kernel::monotonic_now() + (next_at - kernel::boot_clock::now()));
+    wait_for_next_read(asked_at);
+}
+
+void object_feed::wait_for_next_read(kernel::boot_time asked_at)
+{
+    for (;;)
+    {
+        auto const connection = connection_to(m_relay.get());
+        auto const left =
+            next_read_at(m_progress, m_rhythm, connection, asked_at) - kernel::boot_clock::now();
+        bool const is_decided = connection != relay_connection::undecided;
+        auto const wait = is_decided ? left : std::min(left, decltype(left)(choice_check));
+        if (wait <= wait.zero() || !m_signal.wait_until(kernel::monotonic_now() + wait) ||
+            is_decided)
+            return;
+    }
 }
 
 void object_feed::accept(events::read_kind kind,
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -63,6 +63,9 @@
     [[nodiscard]] std::optional<planned_read> begin_read(fleet::relay_choice const* relay);
     void wait_for_permission(fleet::relay_choice const* relay);
     void poll_store(planned_read const& planned);
+    /// Waits until the next read is due.
+    /// @param asked_at begin of the call of the store that has ended.
+    void wait_for_next_read(kernel::boot_time asked_at);
     void poll_relay(fleet::relay_choice const& relay, std::chrono::milliseconds wait);
     void close_relay_client();
     [[nodiscard]] relay_connection connection_to(fleet::relay_choice const* relay) const;
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace pistachiohub::gateway
 {
@@ -62,19 +63,29 @@
 
 using host_group = std::vector<fleet::entry_host const*>;
 
-/// This host and the live hosts that offer a relay, by failure domain and by region.
+/// This host and the others that may read the store for it, by failure domain and by region.
 struct host_groups
 {
     std::map<std::string_view, host_group> by_domain;
     std::map<std::string_view, host_group> by_region;
 };
 
+/// @returns whether the host may read the store for others.
+bool may_be_reader(host_table const& table, known_host const& host, kernel::monotonic_time now)
+{
+    if (host.record.relay_port == 0)
+        return false;
+    bool const is_new = !host.is_confirmed && !host.is_missing && !host.record.is_leaving;
+    bool const has_started = table.is_loaded && now - table.loaded_at < host_timeout;
+    return is_live(table, host, now) || (is_new && has_started);
+}
+
 host_groups make_groups(host_table const& table, kernel::monotonic_time now)
 {
     host_group all{&table.own};
     for (auto const& [name, host] : table.hosts)
     {
-        if (host.record.relay_port != 0 && is_live(table, host, now))
+        if (may_be_reader(table, host, now))
             all.push_back(&host.record);
     }
     std::sort(all.begin(),
@@ -137,7 +148,8 @@
 {
     if (update.is_complete)
     {
-        table.is_loaded = true;
+        if (!std::exchange(table.is_loaded, true))
+            table.loaded_at = now;
         mark_unlisted(table, update);
     }
     // A host that the copy of a restored store lacks still uses its share of the budgets.
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -40,6 +40,8 @@
     routing::text_map<known_host> hosts;
     /// Whether a complete list of the registered hosts has been read.
     bool is_loaded = false;
+    /// When that list was read. Meaningless before.
+    kernel::monotonic_time loaded_at;
     /// Whether the store is reachable. While it is not, no reports can be read, and no host is
     /// taken as gone for a missing report.
     bool is_store_reachable = true;
@@ -89,7 +91,9 @@
 inline constexpr std::size_t min_domain_group_size = 4;
 
 /// Chooses the host that relays the store's changes to this daemon. Live hosts are sorted by
-/// failure domain and name and divided into groups; the first host of those with the greatest
+/// failure domain and name. Listed hosts count as live for `host_timeout` after the first list,
+/// before their reports can have been seen: asking one that is gone costs a call of the store, and
+/// so does waiting. They are divided into groups; the first host of those with the greatest
 /// capacity in a group, its reader, reads the store itself, since it sends each change to all
 /// others. Daemons may disagree on which hosts are live and choose differently. This is safe, since
 /// a host relays only changes that it read from the store itself.
--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -285,6 +285,9 @@
     void handle(events::store_update<fleet::entry_host> const& update)
     {
         m_dispatcher.apply(update, kernel::monotonic_now());
+        // The feeds wait for the first choice.
+        if (!m_is_relay_chosen)
+            publish_relay(choose_relay(m_dispatcher.hosts(), kernel::monotonic_now()));
     }
 
     void handle(events::store_update<fleet::backend_server> const& update)
@@ -424,8 +427,9 @@
 
     void publish_relay(fleet::relay_choice&& chosen)
     {
-        if (chosen == m_relay)
+        if (!m_dispatcher.hosts().is_loaded || (m_is_relay_chosen && chosen == m_relay))
             return;
+        m_is_relay_chosen = true;
         m_relay = chosen;
         kernel::log_event(kernel::log_level::info,
                           "gateway",
@@ -536,6 +540,8 @@
     std::unique_ptr<load_exchange> m_load_exchange;
     kernel::log_limiter m_directory_log_limiter{directory_log_lines_per_second};
     fleet::relay_choice m_relay;
+    /// Whether the feeds were told where to read.
+    bool m_is_relay_chosen = false;
     bool m_is_draining = false;
     bool m_was_ready = false;
 };
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -436,6 +436,19 @@
     CHECK(gateway::choose_relay(m_table, m_now).host == "b");
 }
 
+// Guards against calls of the store by a host that has started, and against an object that a host
+// left behind and that is taken for a reader for long.
+TEST_CASE_METHOD(host_table_fixture, "relay_listed_host_is_asked_before_its_report", "[gateway]")
+{
+    auto host = make_host("a", "sve-a", 1);
+    host.relay_port = relay_port;
+    apply_record(host, true);
+    CHECK_FALSE(gateway::is_live(m_table, m_table.hosts.at("a"), m_now));
+    CHECK(gateway::choose_relay(m_table, m_now).host == "a");
+    m_now += gateway::host_timeout;
+    CHECK(gateway::choose_relay(m_table, m_now).host.empty());
+}
+
 // Guards against readers that exchange totals with hosts that are no readers, or miss a reader.
 TEST_CASE_METHOD(host_table_fixture, "relay_other_readers_are_the_first_of_each_group", "[gateway]")
 {
