gateway: Let one host read the store for a small region

Cause: 64 hosts in 6 failure domains had 6 readers, with 4.3 calls a second each; the domains formed the groups, not the limit of followers.

A region of at most 24 hosts, without a domain of more than 16, has one reader if a host has capacity for it: as much for each follower as the smallest host with 15. Domains with more hosts keep their groups, so large fleets are not changed. Bytes between domains (worked out): 4 MB in 40 s at 146 servers, as much as 15 calls.

Ruled out: groups across all domains of a large region. The number of readers stays the same there when followers are bounded.

--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -104,24 +104,46 @@
     return groups;
 }
 
+/// @returns the first of the hosts with the greatest capacity.
+fleet::entry_host const& greatest_of(std::span<fleet::entry_host const* const> hosts)
+{
+    return **std::max_element(hosts.begin(),
+                              hosts.end(),
+                              [](fleet::entry_host const* left, fleet::entry_host const* right)
+                              {
+                                  return left->capacity < right->capacity;
+                              });
+}
+
+/// @returns whether one host reads for the region. A failure domain that needs several readers
+/// keeps them.
+bool has_one_reader(host_groups const& groups, host_group const& region)
+{
+    return region.size() <= max_region_group_size &&
+           greatest_of(region).capacity >= min_region_reader_capacity &&
+           std::all_of(region.begin(),
+                       region.end(),
+                       [&groups](fleet::entry_host const* host)
+                       {
+                           return groups.by_domain.at(host->failure_domain).size() <=
+                                  max_hosts_per_reader;
+                       });
+}
+
 /// @returns the reader of the group of `host`, which is one of the hosts of `groups`.
 fleet::entry_host const& reader_of(host_groups const& groups, fleet::entry_host const& host)
 {
     auto const& in_domain = groups.by_domain.at(host.failure_domain);
-    auto const& group =
-        in_domain.size() < min_domain_group_size ? groups.by_region.at(host.region) : in_domain;
+    auto const& in_region = groups.by_region.at(host.region);
+    if (has_one_reader(groups, in_region))
+        return greatest_of(in_region);
+    auto const& group = in_domain.size() < min_domain_group_size ? in_region : in_domain;
     auto const own = std::find(group.begin(), group.end(), &host) - group.begin();
     auto const first =
         group.begin() + (own - own % static_cast<std::ptrdiff_t>(max_hosts_per_reader));
     auto const last =
         first + std::min(static_cast<std::ptrdiff_t>(max_hosts_per_reader), group.end() - first);
-    // The first of several with the same capacity.
-    return **std::max_element(first,
-                              last,
-                              [](fleet::entry_host const* left, fleet::entry_host const* right)
-                              {
-                                  return left->capacity < right->capacity;
-                              });
+    return greatest_of({first, last});
 }
 
 // A host that reads the store for followers lists them in its report, which confirms that they
--- a/plugins/gateway/entry_hosts.hpp
+++ b/plugins/gateway/entry_hosts.hpp
@@ -87,16 +87,25 @@
 inline constexpr std::size_t max_hosts_per_reader = 16;
 
 /// Number of hosts in a failure domain below which groups are formed from the hosts of its region.
-/// Groups within one domain are preferred, because traffic within a domain costs less.
 inline constexpr std::size_t min_domain_group_size = 4;
 
+/// Number of hosts up to which a region has one reader instead of one for each failure domain: a
+/// call of the store costs as much as 270 KB between failure domains, and a follower gets a few KB
+/// a second where the fleet is that small.
+inline constexpr std::size_t max_region_group_size = 24;
+
+/// Capacity of a host that reads for a region: as much for each follower as the smallest host, of a
+/// tenth of a core, has with `max_hosts_per_reader`.
+inline constexpr double min_region_reader_capacity = 0.15;
+
 /// Chooses the host that relays the store's changes to this daemon. Live hosts are sorted by
 /// failure domain and name. Listed hosts count as live for `host_timeout` after the first list,
 /// before their reports can have been seen: asking one that is gone costs a call of the store, and
-/// so does waiting. They are divided into groups; the first host of those with the greatest
-/// capacity in a group, its reader, reads the store itself, since it sends each change to all
-/// others. Daemons may disagree on which hosts are live and choose differently. This is safe, since
-/// a host relays only changes that it read from the store itself.
+/// so does waiting. They are divided into groups of a region
+/// that is small and has a host of enough capacity, or else of a failure domain; the first host of
+/// those with the greatest capacity in a group, its reader, reads the store itself, since it sends
+/// each change to all others. Daemons may disagree on which hosts are live and choose differently.
+/// This is safe, since a host relays only changes that it read from the store itself.
 /// @returns an empty choice if this daemon is the reader of its group.
 [[nodiscard]] fleet::relay_choice choose_relay(host_table const& table, kernel::monotonic_time now);
 
--- a/tests/gateway/tables_test.cpp
+++ b/tests/gateway/tables_test.cpp
@@ -436,6 +436,32 @@
     CHECK(gateway::choose_relay(m_table, m_now).host == "b");
 }
 
+// Load pattern: a fleet of few hosts in many failure domains, where each domain had a reader.
+// Guards also against a reader of a region that is too small for its followers, and too many of
+// them.
+TEST_CASE_METHOD(host_table_fixture, "relay_small_region_has_one_reader", "[gateway]")
+{
+    for (auto const* const name : {"b", "c", "d"})
+        add_live_host(name, "sve-a");
+    for (int number = 10; number < 22; ++number)
+        add_live_host("h" + std::to_string(number), "sve-b");
+    CHECK(gateway::choose_relay(m_table, m_now).host == "b");
+    CHECK(gateway::other_readers(m_table, m_now).size() == 1);
+    SECTION("hosts of little capacity keep one reader for each domain")
+    {
+        m_table.own.capacity = 0.1;
+        for (auto& [name, host] : m_table.hosts)
+            host.record.capacity = 0.1;
+        CHECK(gateway::other_readers(m_table, m_now).size() == 2);
+    }
+    SECTION("many hosts keep one reader for each domain")
+    {
+        for (int number = 10; number < 20; ++number)
+            add_live_host("x" + std::to_string(number), "sve-c");
+        CHECK(gateway::other_readers(m_table, m_now).size() == 3);
+    }
+}
+
 // Guards against calls of the store by a host that has started, and against an object that a host
 // left behind and that is taken for a reader for long.
 TEST_CASE_METHOD(host_table_fixture, "relay_listed_host_is_asked_before_its_report", "[gateway]")
