store: Let the settlement call a store that is away only as a probe

Cause: during an outage the settlement of each host repeated its write with its own pauses, and the simulation did not count these calls, nor the first settlement of each host after 1 s. Both are counted now.

The settlement writer is one of the callers of store_probe, which moves to plugins/store for that. The last write before the daemon ends does not wait.

--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -9,8 +9,8 @@
 #include "libraries/object_store/object_store.hpp"
 #include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/report_interval.hpp"
-#include "plugins/discovery/store_probe.hpp"
 #include "plugins/store/newest_generation.hpp"
+#include "plugins/store/store_probe.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <algorithm>
@@ -66,10 +66,10 @@
         , m_followers(context.shared<relay_followers>())
         , m_crashes(context.shared<kernel::snapshot<fleet::crash_knowledge>>())
         , m_newest_generation(context.shared<store::newest_generation>())
-        , m_probe(context.shared<store_probe>())
+        , m_probe(context.shared<store::store_probe>())
     {
         m_probe.add(caller_name,
-                    caller_role::writer,
+                    store::caller_role::writer,
                     [this]()
                     {
                         m_signal.wake();
@@ -235,7 +235,7 @@
     relay_followers& m_followers;
     kernel::snapshot_reader<fleet::crash_knowledge> m_crashes;
     store::newest_generation& m_newest_generation;
-    store_probe& m_probe;
+    store::store_probe& m_probe;
     std::mt19937_64 m_random{std::random_device{}()};
     /// Generation of the store that acknowledged the last report; 0 if it is unknown.
     std::uint64_t m_written_generation = 0;
--- a/plugins/discovery/object_feed.cpp
+++ b/plugins/discovery/object_feed.cpp
@@ -48,12 +48,12 @@
     , m_gateway(context.shared<kernel::mailbox<events::gateway_event>>())
     , m_histories(context.shared<feed_histories>())
     , m_newest_generation(context.shared<store::newest_generation>())
-    , m_probe(context.shared<store_probe>())
+    , m_probe(context.shared<store::store_probe>())
     , m_relay(context.shared<kernel::snapshot<fleet::relay_choice>>())
     , m_client(context.own_settings().store, make_limits(), spoken.store)
 {
     m_probe.add(m_kind,
-                caller_role::reader,
+                store::caller_role::reader,
                 [this]()
                 {
                     m_signal.wake();
--- a/plugins/discovery/object_feed.hpp
+++ b/plugins/discovery/object_feed.hpp
@@ -14,8 +14,8 @@
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/discovery/feed_plan.hpp"
 #include "plugins/discovery/rhythm.hpp"
-#include "plugins/discovery/store_probe.hpp"
 #include "plugins/store/newest_generation.hpp"
+#include "plugins/store/store_probe.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <functional>
@@ -96,7 +96,7 @@
     kernel::mailbox<events::gateway_event>& m_gateway;
     feed_histories& m_histories;
     store::newest_generation& m_newest_generation;
-    store_probe& m_probe;
+    store::store_probe& m_probe;
     kernel::snapshot_reader<fleet::relay_choice> m_relay;
     object_store::client m_client;
     /// Guards the pointer, which request_stop() reads from another thread.
--- a/plugins/store/settlement_writer.cpp
+++ b/plugins/store/settlement_writer.cpp
@@ -9,6 +9,7 @@
 #include "libraries/object_store/object_store.hpp"
 #include "plugins/store/newest_generation.hpp"
 #include "plugins/store/settlement_flush.hpp"
+#include "plugins/store/store_probe.hpp"
 #include "plugins/store/wake_signal.hpp"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 
 // After the feeds and the gateway have a place to put their messages; stopped after the gateway.
 constexpr int start_order = 114;
+constexpr std::string_view caller_name = "settlement";
 // Outcomes are taken from the ring at this interval, so that a request does not wake the thread.
 constexpr auto drain_interval = milliseconds(1000);
 constexpr auto call_timeout = milliseconds(500);
@@ -50,20 +52,39 @@
         , m_interface(interface::find_interface(context.own_settings().gateway->interface_name))
         , m_outcomes(context.shared<kernel::mailbox<events::settle_request>>())
         , m_newest_generation(context.shared<newest_generation>())
+        , m_probe(context.shared<store_probe>())
         , m_client(context.own_settings().store, make_limits(), m_interface.store)
         , m_ledger(context.own_settings().name, context.incarnation())
         , m_flush(m_ledger, context.own_settings().gateway->settlement_interval)
         , m_object_name(context.own_settings().name + '.' + std::to_string(context.incarnation()))
     {
         m_outcomes.set_capacity(ring_capacity);
+        m_probe.add(caller_name,
+                    caller_role::writer,
+                    [this]()
+                    {
+                        m_signal.wake();
+                    });
     }
 
+    ~settlement_writer() override
+    {
+        m_probe.remove(caller_name);
+    }
+
+    settlement_writer(settlement_writer const&) = delete;
+    settlement_writer& operator=(settlement_writer const&) = delete;
+
     void run() override
     {
         while (m_signal.wait_until(kernel::monotonic_now() + drain_interval))
         {
             count_outcomes();
-            step();
+            note_restored_store();
+            auto const due_at = m_flush.next_due();
+            if (due_at && *due_at <= kernel::monotonic_now() &&
+                m_probe.try_begin(caller_name, kernel::boot_clock::now()))
+                step();
         }
         write_last_time();
     }
@@ -84,13 +105,18 @@
             });
     }
 
-    void step()
+    void note_restored_store()
     {
         if (object_store::is_other_generation(m_written_generation, m_newest_generation.value()))
         {
             m_written_generation = m_newest_generation.value();
             m_flush.write_again();
         }
+    }
+
+    /// Makes the calls that are due. They must have begun in the probe, and end in it.
+    void step()
+    {
         auto const random = std::uniform_real_distribution<double>(0, 1)(m_random);
         if (m_flush.must_read_back(kernel::monotonic_now()))
         {
@@ -98,11 +124,17 @@
             count_call("read", read.end);
             m_flush.on_read_back(read, kernel::monotonic_now(), random);
         }
-        auto const write = m_flush.next_write(kernel::monotonic_now());
-        if (!write)
-            return;
+        if (auto const write = m_flush.next_write(kernel::monotonic_now()))
+            send(*write, random);
+        bool const is_answered = m_last_end == status::ok || m_last_end == status::missing ||
+                                 m_last_end == status::conflict;
+        m_probe.end(caller_name, is_answered, random, kernel::boot_clock::now());
+    }
+
+    void send(due_write const& write, double random)
+    {
         auto const written = m_client.write(
-            m_interface.kinds.settlements, m_object_name, write->expected_version, write->text);
+            m_interface.kinds.settlements, m_object_name, write.expected_version, write.text);
         count_call("write", written.end);
         if (written.end == status::ok)
             m_written_generation = written.generation;
@@ -116,6 +148,8 @@
         for (int steps = 0; steps < most_last_steps && !m_flush.is_written(); ++steps)
         {
             m_flush.hurry_after_failures();
+            note_restored_store();
+            m_probe.begin(caller_name, kernel::boot_clock::now());
             step();
         }
         kernel::log_event(m_flush.is_written() ? kernel::log_level::info : kernel::log_level::error,
@@ -145,6 +179,7 @@
     interface::deployment_interface const& m_interface;
     kernel::mailbox<events::settle_request>& m_outcomes;
     newest_generation& m_newest_generation;
+    store_probe& m_probe;
     /// Generation of the store for which the last write was made or is due; 0 if it is unknown.
     std::uint64_t m_written_generation = 0;
     object_store::client m_client;
--- a/plugins/discovery/store_probe.cpp
+++ b/plugins/store/store_probe.cpp
@@ -1,8 +1,8 @@
-#include "plugins/discovery/store_probe.hpp"
+#include "plugins/store/store_probe.hpp"
 
 #include <algorithm>
 
-namespace pistachiohub::discovery
+namespace pistachiohub::store
 {
 
 namespace
@@ -149,4 +149,4 @@
     return call_permitted_at(m_state, caller);
 }
 
-} // namespace pistachiohub::discovery
+} // namespace pistachiohub::store
--- a/plugins/discovery/store_probe.hpp
+++ b/plugins/store/store_probe.hpp
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pistachiohub::discovery
+namespace pistachiohub::store
 {
 
 /// What a caller of the store does while other callers find the store away.
@@ -98,4 +98,4 @@
     std::map<std::string, std::function<void()>, std::less<>> m_resume;
 };
 
-} // namespace pistachiohub::discovery
+} // namespace pistachiohub::store
--- a/tests/discovery/store_calls_test.cpp
+++ b/tests/discovery/store_calls_test.cpp
@@ -2,8 +2,9 @@
 #include "plugins/discovery/feed_plan.hpp"
 #include "plugins/discovery/relay_followers.hpp"
 #include "plugins/discovery/report_interval.hpp"
-#include "plugins/discovery/store_probe.hpp"
 #include "plugins/gateway/entry_hosts.hpp"
+#include "plugins/store/backoff.hpp"
+#include "plugins/store/store_probe.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -34,6 +35,7 @@
 constexpr auto restart_end = milliseconds(31000);
 constexpr auto sweep_interval = milliseconds(500);
 constexpr auto check_interval = milliseconds(250);
+constexpr auto settlement_check = milliseconds(1000);
 constexpr auto settlement_interval = milliseconds(10000);
 // A trip of 20 ms one way and 4 ms at the store.
 constexpr auto store_call = milliseconds(44);
@@ -82,12 +84,14 @@
     gateway::host_table table;
     std::vector<played_feed> feeds;
     discovery::relay_followers followers;
-    discovery::probe_state probe;
+    store::probe_state probe;
     std::optional<std::size_t> reader;
     fleet::entry_host record;
     std::uint64_t written_at = 0;
     bool is_report_written = false;
     boot_time reported_at;
+    boot_time settles_at;
+    unsigned settlement_failures = 0;
 };
 
 /// Calls of the store by purpose.
@@ -128,7 +132,7 @@
             host.record.relay_port = 1;
             host.record.incarnation = 1;
             host.table.own = host.record;
-            host.probe.callers["registration"].role = discovery::caller_role::writer;
+            add_writers(host);
             add_feed(host, discovery::configuration_rhythm(bounds), bounds.configuration_apply);
             add_feed(host, discovery::server_rhythm(bounds), bounds.server_drain);
             add_feed(host, discovery::evacuation_rhythm(bounds), bounds.evacuation);
@@ -165,6 +169,12 @@
     milliseconds recovery{0};
 
 private:
+    static void add_writers(played_host& host)
+    {
+        for (auto const* const writer : {"registration", "settlement"})
+            host.probe.callers[writer].role = store::caller_role::writer;
+    }
+
     static void
     add_feed(played_host& host, discovery::feed_rhythm const& rhythm, milliseconds bound)
     {
@@ -205,8 +215,8 @@
             sweep(host);
         if (running % check_interval == milliseconds(0))
             report(number);
-        if (running % settlement_interval == milliseconds(0) && running >= settlement_interval)
-            ++calls.settlements;
+        if (running % settlement_check == milliseconds(0) && running >= settlement_check)
+            settle(number);
         for (std::size_t kind = 0; kind < host.feeds.size(); ++kind)
         {
             auto& feed = host.feeds[kind];
@@ -228,7 +238,7 @@
         host.record.report = 0;
         host.is_report_written = false;
         host.probe = {};
-        host.probe.callers["registration"].role = discovery::caller_role::writer;
+        add_writers(host);
         for (auto& feed : std::exchange(host.feeds, {}))
             add_feed(host, feed.rhythm, feed.bound);
     }
@@ -293,10 +303,25 @@
         end_call(host, "registration", host.is_report_written);
     }
 
+    void settle(std::size_t number)
+    {
+        auto& host = m_hosts[number];
+        if (m_now < host.settles_at || m_now < call_permitted_at(host.probe, "settlement"))
+            return;
+        ++calls.settlements;
+        begin_call(host.probe, "settlement", m_now);
+        bool const is_written = !is_refused(number);
+        host.settlement_failures = is_written ? 0 : host.settlement_failures + 1;
+        host.settles_at = m_now + (is_written ? settlement_interval
+                                              : store::backoff_delay(host.settlement_failures,
+                                                                     draw(0, 99) / 100.0));
+        end_call(host, "settlement", is_written);
+    }
+
     void end_call(played_host& host, std::string_view caller, bool is_answered)
     {
         auto const random = draw(0, 100) / 100.0;
-        for (auto const& name : discovery::end_call(host.probe, caller, is_answered, random, m_now))
+        for (auto const& name : store::end_call(host.probe, caller, is_answered, random, m_now))
         {
             for (auto& feed : host.feeds)
             {
--- a/tests/discovery/store_probe_test.cpp
+++ b/tests/store/store_probe_test.cpp
@@ -1,4 +1,4 @@
-#include "plugins/discovery/store_probe.hpp"
+#include "plugins/store/store_probe.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,12 +13,12 @@
 class probe_fixture
 {
 protected:
-    discovery::probe_state m_state;
+    store::probe_state m_state;
     kernel::boot_time m_now{std::chrono::hours(1)};
 
     probe_fixture()
     {
-        m_state.callers["registration"].role = discovery::caller_role::writer;
+        m_state.callers["registration"].role = store::caller_role::writer;
         for (auto const* const kind : {"configuration", "servers", "evacuations", "hosts"})
             m_state.callers[kind];
     }
@@ -62,7 +62,7 @@
 } // namespace
 
 // Guards against an outage in which each kind repeats its calls.
-TEST_CASE_METHOD(probe_fixture, "store_probe_long_outage_has_one_call_a_second", "[discovery]")
+TEST_CASE_METHOD(probe_fixture, "store_probe_long_outage_has_one_call_a_second", "[store]")
 {
     fail_all();
     CHECK_FALSE(may_call("registration"));
@@ -71,7 +71,7 @@
 }
 
 // Guards against kinds that stay out of date after the return of the store.
-TEST_CASE_METHOD(probe_fixture, "store_probe_first_answer_resumes_all_callers", "[discovery]")
+TEST_CASE_METHOD(probe_fixture, "store_probe_first_answer_resumes_all_callers", "[store]")
 {
     fail_all();
     play(milliseconds(5000));
@@ -85,7 +85,7 @@
 }
 
 // Guards against a kind that is refused alone, and keeps others from the store or from a probe.
-TEST_CASE_METHOD(probe_fixture, "store_probe_one_refused_kind_does_not_delay_others", "[discovery]")
+TEST_CASE_METHOD(probe_fixture, "store_probe_one_refused_kind_does_not_delay_others", "[store]")
 {
     call("servers", false);
     CHECK(may_call("configuration"));
