tests: Check that a refused feed waits for the probe of another caller

The test holds another caller's probe open for 0.8 s: the feed does not call, and calls when the probe is answered.

--- a/tests/discovery/relay_wire_test.cpp
+++ b/tests/discovery/relay_wire_test.cpp
@@ -4,6 +4,7 @@
 #include "libraries/fleet/relay_choice.hpp"
 #include "plugins/discovery/feed_history.hpp"
 #include "plugins/store/newest_generation.hpp"
+#include "plugins/store/store_probe.hpp"
 #include "tests/support/duty_fixture.hpp"
 #include "tests/support/raw_connection.hpp"
 
@@ -292,6 +293,30 @@
     CHECK(store.receive_message().starts_with("GET /pistachiohub/objects/evacuations?watch=9&"));
 }
 
+// Guards against an outage in which each kind repeats its calls, and against a kind that does not
+// resume when another one is answered.
+TEST_CASE_METHOD(discovery_fixture,
+                 "feed_refused_call_is_repeated_after_the_probe_of_another_caller",
+                 "[discovery][concurrent]")
+{
+    constexpr int quiet_ms = 800;
+    auto& probe = m_context.shared<store::store_probe>();
+    probe.add("other", store::caller_role::reader, []() {});
+    probe.begin("other", kernel::boot_clock::now());
+    probe.end("other", false, 0, kernel::boot_clock::now());
+    start("evacuation feed");
+    auto refused = m_store.accept();
+    REQUIRE_FALSE(refused.receive_message().empty());
+    probe.begin("other", kernel::boot_clock::now());
+    answer(refused, "503 Service Unavailable", "{}", "Connection: close\r\n");
+    CHECK_FALSE(m_store.has_connection(quiet_ms));
+    probe.end("other", true, 0, kernel::boot_clock::now());
+    CHECK(m_store.accept().receive_message().starts_with(
+        "GET /pistachiohub/objects/evacuations HTTP"));
+    m_running.reset();
+    probe.remove("other");
+}
+
 // Guards against a host that is missing in the store for as long as its reports are apart, up to 20
 // s for one that reads through another, after the store came back from an older copy.
 TEST_CASE_METHOD(discovery_fixture,
