gateway: Name all hosts when the large ones do not suffice

Cause: callers spread evenly over the named hosts, but the rule added up capacities. Fill-ins also differed between directories, since each lists itself first. Change: small hosts are left out only if two or more large ones have half of the capacity; otherwise all are named.

--- a/plugins/gateway/directory_choice.cpp
+++ b/plugins/gateway/directory_choice.cpp
@@ -19,27 +19,24 @@
 
 std::vector<host_candidate> select_by_capacity(std::vector<host_candidate> candidates)
 {
-    std::stable_sort(candidates.begin(),
-                     candidates.end(),
-                     [](host_candidate const& left, host_candidate const& right)
-                     {
-                         return left.capacity > right.capacity;
-                     });
+    double greatest = 0;
     double whole = 0;
     for (auto const& host : candidates)
+    {
+        greatest = std::max(greatest, host.capacity);
         whole += host.capacity;
+    }
+    std::vector<host_candidate> large;
     double named = 0;
-    std::size_t count = 0;
     for (auto const& host : candidates)
     {
-        bool const is_large = host.capacity >= min_relative_capacity * candidates.front().capacity;
-        if (!is_large && count >= min_named_hosts && named >= min_named_capacity * whole)
-            break;
+        if (host.capacity < min_relative_capacity * greatest)
+            continue;
+        large.push_back(host);
         named += host.capacity;
-        ++count;
     }
-    candidates.resize(count);
-    return candidates;
+    bool const suffices = large.size() >= min_named_hosts && named >= min_named_capacity * whole;
+    return suffices ? large : candidates;
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/directory_choice.hpp
+++ b/plugins/gateway/directory_choice.hpp
@@ -31,8 +31,7 @@
 /// Part of the capacity of all candidates that the named ones have at least.
 inline constexpr double min_named_capacity = 0.5;
 
-/// Number of named hosts from which smaller ones are left out, so that the loss of one host leaves
-/// callers an address that they know.
+/// Least number of large hosts, so that the loss of one leaves callers an address that they know.
 inline constexpr std::size_t min_named_hosts = 2;
 
 /// @param document the configuration in force; null before the first one.
@@ -40,11 +39,11 @@
 [[nodiscard]] bool names_by_capacity(kernel::directory_rule rule,
                                      routing::routing_document const* document);
 
-/// Leaves out the hosts that are small beside the others. Smaller hosts are named too, in
-/// descending order of capacity, until the named ones have `min_named_capacity` of the whole and
-/// are `min_named_hosts`.
-/// @param candidates live hosts, in an order that all daemons agree on.
-/// @returns the hosts to name; all if their capacities are alike.
+/// Leaves out the hosts that are small beside the others, if at least `min_named_hosts` large ones
+/// have `min_named_capacity` of the whole. Otherwise all are named: callers spread evenly, so a few
+/// small hosts beside one large host would get several times their share.
+/// @param candidates live hosts.
+/// @returns the hosts to name, in the same order.
 [[nodiscard]] std::vector<host_candidate>
 select_by_capacity(std::vector<host_candidate> candidates);
 
