discovery: Report a host also while the store refuses only its reads

The directory drops it after 3.6 s. Change: the registration has the role of a reader, so it calls until a call of its own fails. The simulation also checks the ages of hosts that are never refused.

--- a/plugins/discovery/host_registration.cpp
+++ b/plugins/discovery/host_registration.cpp
@@ -68,8 +68,10 @@
         , m_newest_generation(context.shared<store::newest_generation>())
         , m_probe(context.shared<store::store_probe>())
     {
+        // It calls until a call of its own fails: a store that refuses only reads would otherwise
+        // leave it too few turns as the probe, and the directory would drop this host.
         m_probe.add(caller_name,
-                    store::caller_role::writer,
+                    store::caller_role::reader,
                     [this]()
                     {
                         m_signal.wake();
--- a/tests/discovery/store_calls_test.cpp
+++ b/tests/discovery/store_calls_test.cpp
@@ -171,8 +171,8 @@
 private:
     static void add_writers(played_host& host)
     {
-        for (auto const* const writer : {"registration", "settlement"})
-            host.probe.callers[writer].role = store::caller_role::writer;
+        host.probe.callers["registration"];
+        host.probe.callers["settlement"].role = store::caller_role::writer;
     }
 
     static void
@@ -195,11 +195,16 @@
         return std::uniform_int_distribution<int>(low, high)(m_random);
     }
 
+    [[nodiscard]] bool is_ever_refused(std::size_t number) const
+    {
+        return m_refusal == refusal::all_hosts ||
+               (m_refusal == refusal::third_of_hosts && number / domains % 3 == 0);
+    }
+
     [[nodiscard]] bool is_refused(std::size_t number) const
     {
-        return m_refusal != refusal::none && m_now >= start + outage_begin &&
-               m_now < start + outage_end &&
-               (m_refusal == refusal::all_hosts || number / domains % 3 == 0);
+        return is_ever_refused(number) && m_now >= start + outage_begin &&
+               m_now < start + outage_end;
     }
 
     [[nodiscard]] kernel::monotonic_time timer_now() const
@@ -251,7 +256,8 @@
             std::chrono::duration_cast<milliseconds>(m_now - feed.progress.known_until);
         auto const since_outage =
             std::chrono::duration_cast<milliseconds>(m_now - (start + outage_end));
-        bool const had_outage = m_refusal != refusal::none && m_now >= start + outage_begin;
+        bool const had_outage =
+            m_refusal != refusal::none && m_now >= start + outage_begin && is_ever_refused(number);
         if (!had_outage || age <= since_outage)
             worst_age = std::max(worst_age,
                                  static_cast<double>(age.count()) /
--- a/tests/store/store_probe_test.cpp
+++ b/tests/store/store_probe_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <string>
+
 namespace pistachiohub
 {
 
@@ -18,7 +22,7 @@
 
     probe_fixture()
     {
-        m_state.callers["registration"].role = store::caller_role::writer;
+        m_state.callers["settlement"].role = store::caller_role::writer;
         for (auto const* const kind : {"configuration", "servers", "evacuations", "hosts"})
             m_state.callers[kind];
     }
@@ -65,7 +69,7 @@
 TEST_CASE_METHOD(probe_fixture, "store_probe_long_outage_has_one_call_a_second", "[store]")
 {
     fail_all();
-    CHECK_FALSE(may_call("registration"));
+    CHECK_FALSE(may_call("settlement"));
     play(milliseconds(2000));
     CHECK(play(milliseconds(10000)) <= 11);
 }
@@ -89,7 +93,7 @@
 {
     call("servers", false);
     CHECK(may_call("configuration"));
-    CHECK(call("configuration", true) == std::vector<std::string>{"registration", "servers"});
+    CHECK(call("configuration", true) == std::vector<std::string>{"servers", "settlement"});
     call("servers", false);
     call("configuration", false);
     m_now += milliseconds(200);
@@ -99,4 +103,47 @@
     CHECK_FALSE(may_call("servers"));
 }
 
+// Guards against a host that leaves the directory although the store accepts its reports: the store
+// refuses only reads, and the registration is due every 1.5 s and looks every 250 ms.
+TEST_CASE_METHOD(probe_fixture, "store_probe_refused_reads_delay_no_report_of_the_host", "[store]")
+{
+    constexpr auto report_interval = milliseconds(1500);
+    constexpr auto check_interval = milliseconds(250);
+    constexpr auto longest_gap = milliseconds(3600);
+    auto const read_time = GENERATE(milliseconds(45), milliseconds(700), milliseconds(1500));
+    m_state.callers["registration"];
+    std::map<std::string, kernel::boot_time> reads;
+    auto reported_at = m_now;
+    auto next_check = m_now;
+    milliseconds gap{0};
+    for (auto const end = m_now + std::chrono::minutes(2); m_now < end; m_now += milliseconds(5))
+    {
+        for (auto const* const kind : {"configuration", "servers", "evacuations", "hosts"})
+        {
+            auto const running = reads.find(kind);
+            if (running == reads.end() && may_call(kind))
+            {
+                begin_call(m_state, kind, m_now);
+                reads[kind] = m_now + read_time;
+            }
+            else if (running != reads.end() && m_now >= running->second)
+            {
+                end_call(m_state, kind, false, 1, m_now);
+                reads.erase(running);
+            }
+        }
+        if (m_now < next_check)
+            continue;
+        next_check = m_now + check_interval;
+        if (m_now - reported_at < report_interval || !may_call("registration"))
+            continue;
+        gap = std::max(gap, std::chrono::duration_cast<milliseconds>(m_now - reported_at));
+        reported_at = m_now;
+        begin_call(m_state, "registration", m_now);
+        end_call(m_state, "registration", true, 1, m_now);
+    }
+    gap = std::max(gap, std::chrono::duration_cast<milliseconds>(m_now - reported_at));
+    CHECK(gap < longest_gap);
+}
+
 } // namespace pistachiohub
