soak: Play customers, keys, quotas and uploads

Cause: no run of real daemons had customers, quotas or uploads beside stops, suspensions and outages of the store (section 5 of docs/design/overload-followup.md). Daemons are suspended, and each has its own port of the store, which can be cut off. REFUSED counts on all routes. The stand-ins' reader joins repeated headers, so that a second X-Tenant is seen.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,4 +1,4 @@
-"""The record of a soak, with the times of one monotonic clock, and its checks against LOST, TWICE and REFUSED.
+"""The record of a soak, with the times of one monotonic clock, and its checks: LOST, TWICE, REFUSED, CHANGED.
 
 The share of cut requests beside a configuration isn't compared with other times: nothing in a soak excuses a cut then."""
 
@@ -10,7 +10,10 @@
 EARLY_STOP_S = 3.0  # requests sent within it may still be at work at the end of the grace
 LATE_GRACE_SHARE = 5 / 6
 
-# Planned work of one daemon, or of all of them without a name: stop, reload or configuration.
+AT_MOST_ONCE = ("/buy/", "/upload/")
+
+# Planned work of one daemon, or of all of them without a name: stop, reload,
+# configuration, suspension or outage (of its store).
 Work = collections.namedtuple("Work", "kind daemon begun_at ends_at")
 
 
@@ -22,6 +25,9 @@
     begun_at: float
     end: str = "running"  # whole, whole_and_closed, broke_off (by the server), dropped (by the daemon)
     ended_at: float = float("inf")
+    customer: str = ""  # as its headers name it
+    has_key: bool = False
+    digest: bytes = None  # of its body, when it was read whole
 
 
 @dataclasses.dataclass
@@ -32,6 +38,9 @@
     path: str
     deadline_s: float
     body: bytes
+    digest: bytes
+    key: str
+    part_pause_s: float = 0.0  # between the parts in which it is sent; 0: sent in one piece
     position: int = 0
     daemon: str = ""
     sent_at: float = 0.0  # when its last byte was handed to the kernel
@@ -43,8 +52,8 @@
 
 
 class Record:
-    def __init__(self, grace_s):
-        self.grace_s = grace_s
+    def __init__(self, grace_s, customers):
+        self.grace_s, self.customers = grace_s, customers
         self.runs, self.requests, self.works = [], [], []
 
     def violations(self):
@@ -53,7 +62,8 @@
         for run in self.runs:
             runs[run.identity].append(run)
         return [self.describe(request, runs[request.identity], reason) for request in self.requests
-                for check in (self.check_passed_on, self.check_late_cut, self.check_at_most_once)
+                for check in (self.check_passed_on, self.check_late_cut, self.check_at_most_once,
+                          self.check_customer, self.check_body)
                 if (reason := check(request, runs[request.identity]))]
 
     def check_passed_on(self, request, runs):
@@ -76,12 +86,22 @@
         return None
 
     def check_at_most_once(self, request, runs):
-        if request.path.startswith("/buy/") and len(runs) > 1:
+        if request.path.startswith(AT_MOST_ONCE) and len(runs) > 1:
             return f"TWICE: ran at {', '.join(run.server for run in runs)}"
-        if request.path.startswith("/buy/") and runs and request.status in (429, 503):
+        if runs and request.status in (429, 503):
             return f"REFUSED: was answered {request.status}, and ran at {runs[0].server}"
         return None
 
+    def check_customer(self, request, runs):
+        faults = [self.customers.check_run(request, run) for run in runs] + [self.customers.check_refusal(request)]
+        return next(filter(None, faults), None)
+
+    def check_body(self, request, runs):
+        for run in runs:
+            if run.digest not in (None, request.digest):
+                return f"CHANGED: {run.server} read another body than the one that was sent"
+        return None
+
     def works_beside(self, request):
         """The planned work beside which the request ended; a reload counts for requests sent in its span."""
         return [work for work in self.works
@@ -101,6 +121,7 @@
         ran = [f"{run.server} {run.begun_at - sent_at:+.3f} to {run.ended_at - sent_at:+.3f} s {run.end}" for run in runs]
         works = [f"sent {sent_at - work.begun_at:+.3f} s and ended {ended_at - work.begun_at:+.3f} s after {work.kind}"
                  for work in self.works_beside(request)]
-        return (f"{request.identity} {request.method} {request.path} at {request.daemon}, position {request.position}: "
-                f"{reason}; {request.end} {request.status} {ended_at - sent_at:.3f} s after its last byte; "
+        return (f"{request.identity} {request.method} {request.path} with {request.key} at {request.daemon}, "
+                f"position {request.position}: {reason}; "
+                f"{request.end} {request.status} {ended_at - sent_at:.3f} s after its last byte; "
                 f"runs since then: {', '.join(ran) or 'none'}; {', '.join(works) or 'no planned work'}")
--- a/soak/server.py
+++ b/soak/server.py
@@ -1,12 +1,14 @@
 """Backend servers of the soak. The second part of a request's path names what its server does with it."""
 
 import asyncio
+import hashlib
 import random
 import time
 
 import messages as wire
 from backend_server import BackendServer
 from checks import Run
+from customers import KEY_MARK
 
 LARGE_BODY_BYTES, PART_BYTES, PART_PAUSE_S = 150_000, 16_384, 0.005
 SHORT_RUN_S, SLOW_RUN_S, LATE_READ_S = (0.005, 0.04), (0.6, 1.6), (0.3, 1.2)
@@ -58,7 +60,8 @@
             status = "421 Other" if not is_mine else "200 OK" if self.state == "ready" else "503 Leaving"
             writer.write(wire.make_message(f"HTTP/1.1 {status}", {"X-Instance-Id": self.identity}))
             return True
-        run = Run(message.headers.get("x-attempt-id", ""), self.identity, time.monotonic())
+        run = Run(message.headers.get("x-attempt-id", ""), self.identity, time.monotonic(),
+                  customer=message.headers.get("x-tenant", ""), has_key=KEY_MARK in f"{message.start} {message.headers}")
         self.record.runs.append(run)
         self.waiting += 1
         async with self.free:
@@ -76,16 +79,20 @@
         if behaviour == "late":
             await self.sleep(LATE_READ_S)
         if behaviour != "early":
-            await wire.read_body(reader, message)
+            await self.read_body(run, message, reader)
         await self.sleep(SLOW_RUN_S if behaviour == "slow" else SHORT_RUN_S)
         if reader.at_eof() or reader.exception():
             raise ConnectionResetError
         is_kept = await self.answer(run, behaviour, writer)
         if behaviour == "early":
             await self.sleep(LATE_READ_S)
-            await wire.read_body(reader, message)
+            await self.read_body(run, message, reader)
         return is_kept
 
+    async def read_body(self, run, message, reader):
+        await wire.read_body(reader, message)
+        run.digest = hashlib.sha256(message.body).digest()
+
     async def answer(self, run, behaviour, writer):
         is_kept = self.state == "ready" and self.random.random() >= CLOSING_SHARE
         is_broken = behaviour == "break" or behaviour == "once" and run.identity not in self.broken_once
--- a/standins/platform/messages.py
+++ b/standins/platform/messages.py
@@ -25,7 +25,9 @@
     for line in lines[1:]:
         if line:
             name, value = line.split(":", 1)
-            headers[name.strip().lower()] = value.strip()
+            name, value = name.strip().lower(), value.strip()
+            # A repeated header must not hide an earlier one from the checks of the stand-ins.
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
     return Message(lines[0], headers, b"")
 
 
