--- a/soak/client.py
+++ b/soak/client.py
@@ -9,7 +9,6 @@
 import messages as wire
 from caller import Caller
 from checks import Request
-from customers import Customers
 
 DEADLINE_S, PATIENT_DEADLINE_S = 2.5, 7.5
 PAUSES_S = {"short pause": (0.3, 2.0), "long pause": (5.2, 6.5)}
@@ -81,7 +80,7 @@
                        hashlib.sha256(body).digest(), self.draw_key(), part_pause_s)
 
     def draw_key(self):
-        return Customers.draw_key(self.random)
+        return self.record.customers.draw_key(self.random)
 
     async def exchange(self, requests, pause_s):
         try:
--- a/soak/customers.py
+++ b/soak/customers.py
@@ -58,6 +58,7 @@
         self.keys = {key: History(name) for name, key in FIXED_KEYS.items()}
         self.keys.update({key: History(name) for key, name in MOVING_KEYS.items()})
         self.limits = {name: History(Limit(FIRST_RATE_PER_S, FIRST_RATE_PER_S)) for name in LIMITED}
+        self.latest_key = next(iter(MOVING_KEYS))  # that was removed, restored or moved
 
     def document(self):
         tenants = {name: {"api_keys": []} for name in FIXED_KEYS}
@@ -70,7 +71,8 @@
 
     def draw_key_change(self, random):
         """Removes, restores or moves a key. Returns its history and the new holder."""
-        history = self.keys[random.choice(list(MOVING_KEYS))]
+        self.latest_key = random.choice(list(MOVING_KEYS))
+        history = self.keys[self.latest_key]
         return history, random.choice([holder for holder in HOLDERS if holder != history.value])
 
     def draw_limit_change(self, random):
@@ -78,12 +80,11 @@
         rate = random.choice([rate for rate in RATES_PER_S if rate != history.value.rate_per_s])
         return history, Limit(rate, rate)
 
-    @staticmethod
-    def draw_key(random):
+    def draw_key(self, random):
         """Returns the key of a request of the customers without limits."""
         kind = random.choices(list(KEY_KINDS), KEY_KINDS.values())[0]
         unlimited = [key for name, key in FIXED_KEYS.items() if name not in LIMITED]
-        return {"fixed": random.choice(unlimited), "moving": random.choice(list(MOVING_KEYS)),
+        return {"fixed": random.choice(unlimited), "moving": random.choice([self.latest_key, *MOVING_KEYS]),
                 "unknown": KEY_MARK + "unknown", "missing": None}[kind]
 
     def possible_holders(self, key, begun_at, ended_at, lag_s):
