tests: Measure requests that were owed to a customer and refused

The simulated fleet counts in consecutive windows, one of which begins with the jump, the smaller of what a customer demanded and rate x window + burst, and the part of it that was refused.

--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -330,6 +330,27 @@
         return window_begin >= binds_at ? m_plan.limit_factor : 1;
     }
 
+    static double count_between(std::vector<double> const& times, double begin, double end)
+    {
+        return static_cast<double>(std::lower_bound(times.begin(), times.end(), end) -
+                                   std::lower_bound(times.begin(), times.end(), begin));
+    }
+
+    // Windows before the jump, or before the steady demand has filled one window, do not count.
+    void measure_owed(customer const& each, fleet_result& result) const
+    {
+        for (double begin = m_plan.jump_at; begin + window_seconds <= m_plan.length;
+             begin += window_seconds)
+        {
+            auto const end = begin + window_seconds;
+            auto const owed = std::min(count_between(each.arrivals, begin, end),
+                                       each.rate * (window_seconds + 1));
+            result.owed += owed;
+            result.owed_refused +=
+                std::max(0.0, owed - count_between(each.admissions, begin, end));
+        }
+    }
+
     void measure_windows(std::size_t index, fleet_result& result) const
     {
         auto const& each = m_customers[index];
@@ -363,10 +384,12 @@
 
     [[nodiscard]] fleet_result measure() const
     {
-
         fleet_result result;
         for (std::size_t index = 0; index < m_customers.size(); ++index)
+        {
             measure_windows(index, result);
+            measure_owed(m_customers[index], result);
+        }
         auto const part = static_cast<double>(faulty_hosts()) / static_cast<double>(m_hosts.size());
         result.use_of_cut_off = static_cast<double>(m_cut_off_admissions) /
                                 (part * m_plan.fault_seconds * total_rate * quota_of_usual_demand);
--- a/tests/quota/quota_fleet.hpp
+++ b/tests/quota/quota_fleet.hpp
@@ -67,6 +67,11 @@
     double worst_refused_part = 0;
     /// Part of the limit of one host that the cut-off hosts used.
     double use_of_cut_off = 0;
+    /// Requests owed to customers: in each of consecutive windows, one of which begins with the
+    /// jump, the smaller of what a customer demanded and what it is entitled to.
+    double owed = 0;
+    /// Part of the owed requests that was refused.
+    double owed_refused = 0;
 };
 
 /// Plays the plan. All delays, losses and arrivals are drawn from the seed.
