quota: Admit customers below their limit while a fifth of the hosts fail

A histogram of the refusals by time and rank of the customer showed three causes:

- After 2 s without its reader, a host used its own part of the limits, but kept its totals of the last contact as the base of the next session, because the totals of ticks are not updated while news is overdue.
Once it was heard again, it reported seconds of requests that the others then deducted a second time.
- A reader emptied its bucket when another group was heard again, although that group's part had been kept aside.
- The level above which no share is needed was not reduced to the part of the hosts heard, as the capacity is: at 0.7 of the hosts the large customers never reached it.

--- a/plugins/quota/quota.cpp
+++ b/plugins/quota/quota.cpp
@@ -25,6 +25,9 @@
 constexpr double saving_seconds = 0.3;
 // Fraction of the burst above which the fleet bucket counts as well filled, before the slack.
 constexpr double well_filled_fraction = 0.5;
+// Part of the limits above which the hosts heard are most of the fleet. Not much above a half: with
+// half of 60 hosts cut off, the bound was exceeded by 43 requests without it.
+constexpr double main_group_fraction = 0.6;
 // Fraction of the tolerance by which a share may be used while the fleet bucket is in debt. Whole
 // requests that many hosts have saved up would exceed the tolerance.
 constexpr double debt_fraction = 0.35;
@@ -127,10 +130,14 @@
            aimed_slack * state.bound.slack / state.bound.window_seconds;
 }
 
-double well_filled_level(ledger const& state, customer_limit const& limit)
+double well_filled_level(ledger const& state, customer_limit const& limit, fleet_view const& view)
 {
+    // The bucket holds no more than the part of the hosts heard. A smaller group, such as a reader
+    // that is cut off, keeps the level: it would use the part of the others at once.
+    auto const usable = usable_fraction(state, view);
+    auto const part = usable > main_group_fraction ? usable : 1.0;
     // The slack of small customers exceeds what they can use while the totals are on their way.
-    return std::max(1.0, well_filled_fraction * limit.burst - state.bound.slack / 2);
+    return std::max(1.0, part * (well_filled_fraction * limit.burst - state.bound.slack / 2));
 }
 
 double share_of(ledger const& state, account const& customer, fleet_view const& view)
@@ -188,7 +195,7 @@
         return customer.fleet_tokens >= 1;
     if (!state.parts.enforces_share)
         return expected >= 1;
-    if (is_fresh && expected >= well_filled_level(state, customer.limit))
+    if (is_fresh && expected >= well_filled_level(state, customer.limit, view))
         return true;
     auto const allowed_debt =
         debt_fraction *
@@ -444,7 +451,8 @@
     else if (is_silent)
         // What was admitted meanwhile had its own part of the limits.
         skip_totals(other, received);
-    if (is_silent && other.kind != link_kind::follower)
+    // While another group was silent, its part of the limits was kept for it.
+    if (is_silent && other.kind == link_kind::reader)
         forget_tokens(state);
     other.other_session = received.session;
     other.other_hosts = received.hosts;
@@ -485,7 +493,7 @@
         if (view.age >= silent_reader_age)
         {
             // From now on the host uses its own part of the limits and of the debt.
-            customer.own_at_contact = customer.ticked_own;
+            customer.own_at_contact = customer.own;
             auto const part = customer.fleet_tokens / static_cast<double>(view.hosts);
             customer.own_tokens = std::min(customer.own_tokens, part);
         }
--- a/tests/quota/quota_fleet.cpp
+++ b/tests/quota/quota_fleet.cpp
@@ -346,8 +346,7 @@
             auto const owed = std::min(count_between(each.arrivals, begin, end),
                                        each.rate * (window_seconds + 1));
             result.owed += owed;
-            result.owed_refused +=
-                std::max(0.0, owed - count_between(each.admissions, begin, end));
+            result.owed_refused += std::max(0.0, owed - count_between(each.admissions, begin, end));
         }
     }
 
--- a/tests/quota/quota_fleet_test.cpp
+++ b/tests/quota/quota_fleet_test.cpp
@@ -119,13 +119,26 @@
 }
 
 // Guards against hosts that refuse callers below their limit while a fifth of the hosts fail.
-TEST_CASE("quota_refuses_no_customer_below_its_limit_while_hosts_fail", "[.][quota_seeds]")
+TEST_CASE("quota_refuses_no_customer_below_its_limit_while_hosts_fail", "[quota]")
 {
     auto plan = plan_of(60, 1);
     plan.kind = GENERATE(fault::cut_off, fault::restarted, fault::suspended);
     CHECK(refused_part(quota_test::play(plan, seed)) <= most_refused);
 }
 
+// Guards against a limit that does not follow the window: a customer that has used little of its
+// limit, or always a little more than its rate, is refused requests that its window has room for.
+TEST_CASE("quota_admits_what_is_owed_in_a_window", "[.][quota_seeds]")
+{
+    constexpr double most_owed_refused = 1 - least_use;
+    auto plan = plan_of(GENERATE(3, 60, 300), 1);
+    plan.usual_use = GENERATE(0.4, 1.15);
+    plan.jump = plan.usual_use < 1 ? 2.5 / plan.usual_use : 1;
+    auto const result = quota_test::play(plan, seed);
+    CAPTURE(plan.hosts, plan.usual_use, result.owed);
+    CHECK(result.owed_refused <= most_owed_refused * result.owed);
+}
+
 // The longer run, started by hand: all sizes and several seeds.
 TEST_CASE("quota_invariants_hold_with_many_seeds", "[.][quota_seeds]")
 {
