--- a/plugins/gateway/gateway_duty.cpp
+++ b/plugins/gateway/gateway_duty.cpp
@@ -483,6 +483,8 @@
                 query.failure_domain,
                 names_by_capacity(m_settings.named_hosts, table ? &table->document : nullptr),
                 kernel::monotonic_now());
+            m_context.own_metrics().set_gauge("pistachiohub_gateway_directory_hosts",
+                                              static_cast<double>(hosts.size()));
             if (hosts.empty())
                 return {http_unavailable, "{\"reason\":\"no_entry_host\"}"};
             auto const time_to_live =
