--- a/plugins/gateway/directory_choice.cpp
+++ b/plugins/gateway/directory_choice.cpp
@@ -17,7 +17,7 @@
                                               });
 }
 
-std::vector<host_candidate> select_by_capacity(std::vector<host_candidate> candidates)
+std::vector<host_candidate> select_by_capacity(std::span<host_candidate const> candidates)
 {
     double greatest = 0;
     double whole = 0;
@@ -36,7 +36,9 @@
         named += host.capacity;
     }
     bool const suffices = large.size() >= min_named_hosts && named >= min_named_capacity * whole;
-    return suffices ? large : candidates;
+    if (suffices)
+        return large;
+    return {candidates.begin(), candidates.end()};
 }
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/directory_choice.hpp
+++ b/plugins/gateway/directory_choice.hpp
@@ -11,6 +11,8 @@
 #include "kernel/gateway_settings.hpp"
 #include "libraries/routing/route.hpp"
 
+#include <cstddef>
+#include <span>
 #include <vector>
 
 namespace pistachiohub::gateway
@@ -45,6 +47,6 @@
 /// @param candidates live hosts.
 /// @returns the hosts to name, in the same order.
 [[nodiscard]] std::vector<host_candidate>
-select_by_capacity(std::vector<host_candidate> candidates);
+select_by_capacity(std::span<host_candidate const> candidates);
 
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -323,7 +323,7 @@
                                     return true;
                                 });
     if (is_by_capacity)
-        found = select_by_capacity(std::move(found));
+        found = select_by_capacity(found);
     std::vector<kernel::endpoint> selected;
     for (auto const& host : found)
         selected.push_back(host.callers);
