--- a/plugins/gateway/entry_hosts.cpp
+++ b/plugins/gateway/entry_hosts.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace pistachiohub::gateway
 {
@@ -64,19 +65,29 @@
 
 using host_group = std::vector<fleet::entry_host const*>;
 
-/// This host and the live hosts that offer a relay, by failure domain and by region.
+/// This host and the others that may read the store for it, by failure domain and by region.
 struct host_groups
 {
     std::map<std::string_view, host_group> by_domain;
     std::map<std::string_view, host_group> by_region;
 };
 
+/// @returns whether the host may read the store for others.
+bool may_be_reader(host_table const& table, known_host const& host, kernel::monotonic_time now)
+{
+    if (host.record.relay_port == 0)
+        return false;
+    bool const is_new = !host.is_confirmed && !host.is_missing && !host.record.is_leaving;
+    bool const has_started = table.is_loaded && now - table.loaded_at < host_timeout;
+    return is_live(table, host, now) || (is_new && has_started);
+}
+
 host_groups make_groups(host_table const& table, kernel::monotonic_time now)
 {
     host_group all{&table.own};
     for (auto const& [name, host] : table.hosts)
     {
-        if (host.record.relay_port != 0 && is_live(table, host, now))
+        if (may_be_reader(table, host, now))
             all.push_back(&host.record);
     }
     std::sort(all.begin(),
@@ -95,24 +106,46 @@
     return groups;
 }
 
+/// @returns the first of the hosts with the greatest capacity.
+fleet::entry_host const& greatest_of(std::span<fleet::entry_host const* const> hosts)
+{
+    return **std::max_element(hosts.begin(),
+                              hosts.end(),
+                              [](fleet::entry_host const* left, fleet::entry_host const* right)
+                              {
+                                  return left->capacity < right->capacity;
+                              });
+}
+
+/// @returns whether one host reads for the region. A failure domain that needs several readers
+/// keeps them.
+bool has_one_reader(host_groups const& groups, host_group const& region)
+{
+    return region.size() <= max_region_group_size &&
+           greatest_of(region).capacity >= min_region_reader_capacity &&
+           std::all_of(region.begin(),
+                       region.end(),
+                       [&groups](fleet::entry_host const* host)
+                       {
+                           return groups.by_domain.at(host->failure_domain).size() <=
+                                  max_hosts_per_reader;
+                       });
+}
+
 /// @returns the reader of the group of `host`, which is one of the hosts of `groups`.
 fleet::entry_host const& reader_of(host_groups const& groups, fleet::entry_host const& host)
 {
     auto const& in_domain = groups.by_domain.at(host.failure_domain);
-    auto const& group =
-        in_domain.size() < min_domain_group_size ? groups.by_region.at(host.region) : in_domain;
+    auto const& in_region = groups.by_region.at(host.region);
+    if (has_one_reader(groups, in_region))
+        return greatest_of(in_region);
+    auto const& group = in_domain.size() < min_domain_group_size ? in_region : in_domain;
     auto const own = std::find(group.begin(), group.end(), &host) - group.begin();
     auto const first =
         group.begin() + (own - own % static_cast<std::ptrdiff_t>(max_hosts_per_reader));
     auto const last =
         first + std::min(static_cast<std::ptrdiff_t>(max_hosts_per_reader), group.end() - first);
-    // The first of several with the same capacity.
-    return **std::max_element(first,
-                              last,
-                              [](fleet::entry_host const* left, fleet::entry_host const* right)
-                              {
-                                  return left->capacity < right->capacity;
-                              });
+    return greatest_of({first, last});
 }
 
 // A host that reads the store for followers lists them in its report, which confirms that they
@@ -139,7 +172,8 @@
 {
     if (update.is_complete)
     {
-        table.is_loaded = true;
+        if (!std::exchange(table.is_loaded, true))
+            table.loaded_at = now;
         mark_unlisted(table, update);
     }
     // A host that the copy of a restored store lacks still uses its share of the budgets.
