object_store: Follow a page whose last entry has an odd name

Cause: callers got 503 from all daemons after a restart while an entry of another writer stood in the list of backend servers. Its name is where the next page begins; it was pasted into the target, which the store refused or read as another name. A list that is not whole is discarded, so the daemons knew no server. Ruled out: the entry's value, which was skipped before; the order of the restarts. A page is followed from its last plain name, since a store may refuse what is long or odd also when it is encoded. Pages that repeat end the list. The stand-in store decodes names and refuses what is no target.

--- a/libraries/object_store/dialect.cpp
+++ b/libraries/object_store/dialect.cpp
@@ -1,5 +1,7 @@
 #include "libraries/object_store/dialect.hpp"
 
+#include "libraries/http/target.hpp"
+
 #include <boost/json.hpp>
 
 namespace pistachiohub::object_store
@@ -58,7 +60,7 @@
 
 std::string object_target(std::string_view kind, std::string_view name)
 {
-    return "/objects/" + std::string(kind) + '/' + std::string(name);
+    return "/objects/" + std::string(kind) + '/' + http::encode_target_part(name);
 }
 
 http::request make_read(std::string_view kind, std::string_view name)
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -1,15 +1,50 @@
 #include "libraries/object_store/object_store.hpp"
 
 #include "kernel/log.hpp"
+#include "libraries/http/target.hpp"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <exception>
+#include <set>
 
 namespace pistachiohub::object_store
 {
 
+namespace
+{
+
+// Longer names may exceed what a store takes in a target.
+constexpr std::size_t max_plain_name_bytes = 256;
+
+bool is_plain_name(object const& listed)
+{
+    return !listed.name.empty() && listed.name.size() <= max_plain_name_bytes &&
+           http::is_plain_target_part(listed.name);
+}
+
+// Chooses the name after which the next page begins, and removes the objects behind it, which that
+// page repeats. A plain name comes first: a store may refuse or misread any other.
+// @returns an empty name if no object of the page has one.
+std::string take_cursor(std::vector<object>& objects)
+{
+    auto found = std::find_if(objects.rbegin(), objects.rend(), is_plain_name);
+    if (found == objects.rend())
+        found = std::find_if(objects.rbegin(),
+                             objects.rend(),
+                             [](object const& listed)
+                             {
+                                 return !listed.name.empty();
+                             });
+    if (found == objects.rend())
+        return {};
+    objects.erase(found.base(), objects.end());
+    return objects.back().name;
+}
+
+} // namespace
+
 std::string_view to_string(status value)
 {
     // In the order of the enumeration.
@@ -60,6 +95,7 @@
 {
     list_result result;
     std::string after;
+    std::set<std::string> cursors;
     for (bool has_more = true; has_more;)
     {
         auto read = read_page(m_dialect.make_list(kind, after),
@@ -75,16 +111,18 @@
         }
         if (is_other_generation(result.generation, read.generation))
             return {status::history_gone, 0, {}, read.generation};
-        auto const last_named = std::find_if(read.objects.rbegin(),
-                                             read.objects.rend(),
-                                             [](object const& listed)
-                                             {
-                                                 return !listed.name.empty();
-                                             });
-        // A page that claims to be followed by others, but names no object, would repeat for ever.
-        has_more = has_more && last_named != read.objects.rend();
         if (has_more)
-            after = last_named->name;
+            after = take_cursor(read.objects);
+        // A page that claims to be followed by others, but names no object, would repeat for ever.
+        has_more = has_more && !after.empty();
+        if (has_more && !cursors.insert(after).second)
+        {
+            kernel::log_event(kernel::log_level::error,
+                              "store",
+                              "list_repeats",
+                              {{"kind", kind}, {"after", std::string_view(after)}});
+            return {status::outage, 0, {}, read.generation};
+        }
         for (auto& object : read.objects)
             result.objects.push_back(std::move(object));
     }
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -63,7 +63,8 @@
     [[nodiscard]] read_result read(std::string_view kind, std::string_view name);
 
     /// Reads all objects of a kind, page by page. The revision is that of the first page, so that a
-    /// watch from there misses nothing. Pages of two generations end with `status::history_gone`.
+    /// watch from there misses nothing. Pages of two generations end with `status::history_gone`,
+    /// pages that repeat with `status::outage`.
     [[nodiscard]] list_result list(std::string_view kind);
 
     /// Waits up to `wait` for objects that changed after `since`. Ends with `status::history_gone`
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -1,5 +1,7 @@
 #include "standins/http_server.hpp"
 
+#include "libraries/http/target.hpp"
+
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -223,7 +225,10 @@
 
 std::vector<std::string> split_path(std::string_view path)
 {
-    return split_text(path, '/');
+    auto parts = split_text(path, '/');
+    for (auto& part : parts)
+        part = pistachiohub::http::decode_target_part(part);
+    return parts;
 }
 
 } // namespace pistachiohub::standins
--- a/standins/http_server.hpp
+++ b/standins/http_server.hpp
@@ -79,7 +79,7 @@
     std::shared_ptr<implementation> m_implementation;
 };
 
-/// @returns the parts of `path` between slashes, without empty ones.
+/// @returns the decoded parts of `path` between slashes, without empty ones.
 [[nodiscard]] std::vector<std::string> split_path(std::string_view path);
 
 } // namespace pistachiohub::standins
--- a/standins/platform/metadata_store.py
+++ b/standins/platform/metadata_store.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import json
+import re
 import time
 import urllib.parse
 
 import messages as wire
 
-PAGE = 20
+# Entries of the demo fill several pages.
+PAGE = 5
+TARGET = re.compile(r"(?:[A-Za-z0-9._~/?&=+-]|%[0-9A-Fa-f]{2})+")
+PARAMETERS = {"after", "watch", "wait_ms", "revision"}
 
 
 class MetadataStore:
@@ -72,10 +76,12 @@
         self.calls += 1
         if self.is_down:
             return self.answer(503, {"error": "down"})
-        method, target, _ = message.start.split(" ", 2)
+        method, target, protocol = message.start.split(" ", 2)
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
-        path = url.path.removeprefix("/pistachiohub/objects/").split("/")
+        if not TARGET.fullmatch(target) or protocol != "HTTP/1.1" or not PARAMETERS.issuperset(query):
+            return self.answer(400, {"error": "not a target"})
+        path = [urllib.parse.unquote(part) for part in url.path.removeprefix("/pistachiohub/objects/").split("/")]
         if method == "GET" and "watch" in query:
             return await self.watch(path[0], int(query["watch"]), int(query.get("wait_ms", 0)) / 1000)
         if method == "GET":
--- a/tests/platform/metadata_store_test.cpp
+++ b/tests/platform/metadata_store_test.cpp
@@ -36,6 +36,33 @@
     CHECK(page.objects[0].observed == R"({"b":2})");
 }
 
+// Guards against a name of another writer that ends or changes the target of a call. After a list
+// whose first page ended with such a name, no daemon got ready.
+TEST_CASE_METHOD(metadata_store_fixture, "metadata_store_odd_name_is_encoded", "[platform]")
+{
+    auto const [name, encoded] =
+        GENERATE(table<std::string, std::string>({{"i#1", "i%231"},
+                                                  {"i%", "i%25"},
+                                                  {"i%41", "i%2541"},
+                                                  {"i 1", "i%201"},
+                                                  {"i\r\n1", "i%0D%0A1"},
+                                                  {"i&watch=1", "i%26watch%3D1"},
+                                                  {"i+1", "i%2B1"},
+                                                  {"i/../1?", "i%2F..%2F1%3F"},
+                                                  {"caf\xc3\xa9", "caf%C3%A9"}}));
+    CHECK(m_dialect.make_list("servers", name).target ==
+          "/pistachiohub/objects/servers?after=" + encoded);
+    auto const target = "/pistachiohub/objects/servers/" + encoded;
+    CHECK(m_dialect.make_read("servers", name).target == target);
+    CHECK(m_dialect.make_write("servers", name, 4, "{}").target == target);
+    CHECK(m_dialect.make_remove("servers", name, 4).target == target + "?revision=4");
+    auto const& native = object_store::native_dialect();
+    auto const native_target = "/objects/hosts/" + encoded;
+    CHECK(native.make_read("hosts", name).target == native_target);
+    CHECK(native.make_write("hosts", name, 4, "{}").target == native_target);
+    CHECK(native.make_remove("hosts", name, 4).target == native_target);
+}
+
 TEST_CASE_METHOD(metadata_store_fixture, "metadata_store_watch_reports_removals", "[platform]")
 {
     CHECK(m_dialect.make_watch("config", {3, 530}, std::chrono::milliseconds(1500)).target ==
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -2,9 +2,15 @@
 #include "platform/metadata_store.hpp"
 #include "tests/support/raw_connection.hpp"
 
+#include <boost/json.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <memory>
+#include <optional>
+#include <set>
 
 namespace pistachiohub
 {
@@ -19,8 +25,10 @@
 {
 protected:
     support::raw_listener m_store;
-    object_store::client m_client{
-        {"127.0.0.1", m_store.port()}, {}, platform::make_metadata_store_dialect()};
+    std::unique_ptr<object_store::client> m_client =
+        std::make_unique<object_store::client>(kernel::endpoint{"127.0.0.1", m_store.port()},
+                                               http::client_limits{},
+                                               platform::make_metadata_store_dialect());
 
     /// Answers one request on a connection.
     static void answer(support::raw_connection& connection,
@@ -40,8 +48,153 @@
            R"(, "at": )" + std::to_string(revision) + '}';
 }
 
+/// A store that serves pages of five names in their order. It reads queries as forms are read, and
+/// refuses a target that is none.
+class paged_store
+{
+public:
+    paged_store(support::raw_listener const& listener, std::set<std::string> names)
+        : m_names(std::move(names))
+        , m_running(std::async(std::launch::async,
+                               [this, &listener]()
+                               {
+                                   serve(listener);
+                               }))
+    {
+    }
+
+    /// Waits until the client has closed its connection.
+    /// @returns the number of requests.
+    [[nodiscard]] int finish()
+    {
+        m_running.get();
+        return m_requests;
+    }
+
+private:
+    static constexpr std::size_t page_size = 5;
+    static constexpr int max_requests = 100;
+
+    void serve(support::raw_listener const& listener)
+    {
+        auto connection = listener.accept();
+        while (m_requests < max_requests)
+        {
+            auto const message = connection.receive_message();
+            if (message.empty())
+                return;
+            ++m_requests;
+            auto const begin = message.find(' ') + 1;
+            auto const target = message.substr(begin, message.find(" HTTP/1.1\r\n") - begin);
+            auto const body = answer_to(target);
+            connection.send((body ? "HTTP/1.1 200 OK" : "HTTP/1.1 400 Bad Request") +
+                            std::string("\r\nContent-Length: ") +
+                            std::to_string(body.value_or("").size()) + "\r\n\r\n" +
+                            body.value_or(""));
+        }
+    }
+
+    [[nodiscard]] std::optional<std::string> answer_to(std::string const& target) const
+    {
+        auto const parsed = boost::urls::parse_origin_form(target);
+        if (!parsed || target.find('#') != std::string::npos)
+            return std::nullopt;
+        std::string after;
+        for (auto const& parameter : parsed->params())
+        {
+            if (parameter.key != "after")
+                return std::nullopt;
+            after = parameter.value;
+        }
+        return make_page_after(after);
+    }
+
+    [[nodiscard]] std::string make_page_after(std::string const& after) const
+    {
+        boost::json::array items;
+        auto next = after.empty() ? m_names.begin() : m_names.upper_bound(after);
+        for (; next != m_names.end() && items.size() < page_size; ++next)
+            items.push_back({{"metadata", {{"name", *next}, {"revision", 1}}}, {"spec", nullptr}});
+        return boost::json::serialize(boost::json::object{
+            {"items", std::move(items)}, {"has_more", next != m_names.end()}, {"at", 7}});
+    }
+
+    std::set<std::string> m_names;
+    int m_requests = 0;
+    std::future<void> m_running;
+};
+
+std::multiset<std::string> names_of(object_store::list_result const& listed)
+{
+    std::multiset<std::string> names;
+    for (auto const& object : listed.objects)
+        names.insert(object.name);
+    return names;
+}
+
 } // namespace
 
+// Guards against one entry of another writer at the end of a page, after which nothing else of the
+// list was read: no daemon that started got ready.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_list_passes_odd_names",
+                 "[platform][concurrent]")
+{
+    auto const odd = GENERATE(std::string("i-4#"),
+                              std::string("i-4%"),
+                              std::string("i-4%41"),
+                              std::string("i-4 x"),
+                              std::string("i-4+x"),
+                              std::string("i-4\r\nX: y"),
+                              std::string("i-4&watch=1"),
+                              std::string("i-4&after=i-1"),
+                              std::string("i-4\"/?x"),
+                              std::string("i-4\xc3\xa9"),
+                              "i-4" + std::string(100'000, 'x'));
+    std::set<std::string> const names{
+        "i-1", "i-2", "i-3", "i-4", odd, "i-5", "i-6", "i-7", "i-8", "i-9"};
+    paged_store store(m_store, names);
+    auto const listed = m_client->list("servers");
+    m_client.reset();
+    CHECK(listed.end == status::ok);
+    CHECK(names_of(listed) == std::multiset<std::string>(names.begin(), names.end()));
+    CHECK(store.finish() == 3);
+}
+
+// Guards against a page of odd names only, for which no other cursor is left.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_list_passes_a_page_of_odd_names",
+                 "[platform][concurrent]")
+{
+    std::set<std::string> const names{
+        "a#", "a%", "a%41", "a b", "a&after=a", "a&watch=1", "a+b", "a\r\n", "a?", "b", "c"};
+    paged_store store(m_store, names);
+    auto const listed = m_client->list("servers");
+    m_client.reset();
+    CHECK(listed.end == status::ok);
+    CHECK(names_of(listed) == std::multiset<std::string>(names.begin(), names.end()));
+    CHECK(store.finish() == 3);
+}
+
+// Guards against a list without end where the store reads a cursor as another name.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_list_that_repeats_is_an_outage",
+                 "[platform][concurrent]")
+{
+    auto listed = std::async(std::launch::async,
+                             [this]()
+                             {
+                                 return m_client->list("servers");
+                             });
+    auto connection = m_store.accept();
+    answer(connection, "200 OK", make_page("a b", "true", 10));
+    answer(connection, "200 OK", make_page("c d", "true", 10));
+    answer(connection, "200 OK", make_page("a b", "true", 10));
+    // Well before the time for another answer is up.
+    CHECK(listed.wait_for(std::chrono::milliseconds(2000)) == std::future_status::ready);
+    CHECK(listed.get().end == status::outage);
+}
+
 // The answer to a removal holds no object. It was taken for a lost answer, so that each daemon
 // logged a failure when it ended.
 TEST_CASE_METHOD(store_client_fixture,
@@ -51,7 +204,7 @@
     auto removed = std::async(std::launch::async,
                               [this]()
                               {
-                                  return m_client.remove("entry-hosts", "h-1", 4);
+                                  return m_client->remove("entry-hosts", "h-1", 4);
                               });
     auto connection = m_store.accept();
     answer(connection, "200 OK", GENERATE(std::string(), std::string("null"), std::string("{}")));
@@ -66,7 +219,7 @@
     auto listed = std::async(std::launch::async,
                              [this]()
                              {
-                                 return m_client.list("servers");
+                                 return m_client->list("servers");
                              });
     auto connection = m_store.accept();
     answer(connection, "200 OK", make_page("i-1", "true", 10));
@@ -83,7 +236,7 @@
                  "store_client_value_that_is_no_json_is_not_written",
                  "[platform]")
 {
-    CHECK(m_client.write("settlements", "h-1", 0, "{\"id\": \"k\xf6p\"}").end == status::outage);
+    CHECK(m_client->write("settlements", "h-1", 0, "{\"id\": \"k\xf6p\"}").end == status::outage);
     CHECK_FALSE(m_store.has_connection(0));
 }
 
@@ -94,7 +247,7 @@
     auto listed = std::async(std::launch::async,
                              [this]()
                              {
-                                 return m_client.list("servers");
+                                 return m_client->list("servers");
                              });
     auto connection = m_store.accept();
     answer(connection, "200 OK", "{\"items\": [");
