object_store: Let an odd object cost only itself in lists

Read in the code, then shown by tests. Ruled out: odd values in the platform's API, which cost only themselves before. Change: such an object gets no name, and the feeds log and skip it. In the other API an unreadable value is empty, which the readers of host lists, journals and settlements report; GET /v1/settlement tells it as null.

--- a/libraries/object_store/dialect.cpp
+++ b/libraries/object_store/dialect.cpp
@@ -1,9 +1,12 @@
 #include "libraries/object_store/dialect.hpp"
 
 #include "libraries/http/target.hpp"
+#include "libraries/object_store/json_parts.hpp"
 
 #include <boost/json.hpp>
 
+#include <exception>
+
 namespace pistachiohub::object_store
 {
 
@@ -26,29 +29,45 @@
     return write_status_of(code, http_precondition_failed);
 }
 
-object to_object(json::value const& value)
+object read_name_and_version(std::vector<json_member> const& members)
 {
-    auto const& members = value.as_object();
     object result;
-    result.name = members.at("name").as_string();
-    result.version = members.at("version").to_number<std::uint64_t>();
-    result.value = json::serialize(members.at("value"));
+    result.name = json::parse(find_json_member(members, "name")).as_string();
+    result.version = json::parse(find_json_member(members, "version")).to_number<std::uint64_t>();
     return result;
 }
 
 object decode_object(std::string_view body)
 {
-    return to_object(json::parse(body));
+    auto const members = split_json_object(body);
+    auto result = read_name_and_version(members);
+    result.value = json::serialize(json::parse(find_json_member(members, "value")));
+    return result;
+}
+
+// What cannot be read of an object costs only itself: its value, or its name.
+object to_listed_object(std::string_view text)
+{
+    try
+    {
+        auto const members = split_json_object(text);
+        auto result = read_name_and_version(members);
+        result.value = readable_json(find_json_member(members, "value"));
+        return result;
+    }
+    catch (std::exception const&)
+    {
+        return {};
+    }
 }
 
 page decode_list(std::string_view body)
 {
-    auto const document = json::parse(body);
-    auto const& members = document.as_object();
+    auto const members = split_json_object(body);
     page result;
-    result.revision = members.at("revision").to_number<std::uint64_t>();
-    for (auto const& item : members.at("objects").as_array())
-        result.objects.push_back(to_object(item));
+    result.revision = json::parse(find_json_member(members, "revision")).to_number<std::uint64_t>();
+    for (auto const item : split_json_array(find_json_member(members, "objects")))
+        result.objects.push_back(to_listed_object(item));
     return result;
 }
 
--- a/libraries/object_store/json_parts.cpp
+++ b/libraries/object_store/json_parts.cpp
@@ -1,5 +1,7 @@
 #include "libraries/object_store/json_parts.hpp"
 
+#include <boost/json.hpp>
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -158,4 +160,11 @@
     return found == members.end() ? std::string_view() : found->second;
 }
 
+std::string readable_json(std::string_view text)
+{
+    boost::system::error_code failure;
+    auto const value = boost::json::parse(text, failure);
+    return failure || value.is_null() ? std::string() : boost::json::serialize(value);
+}
+
 } // namespace pistachiohub::object_store
--- a/libraries/object_store/json_parts.hpp
+++ b/libraries/object_store/json_parts.hpp
@@ -4,6 +4,7 @@
 /// Splits JSON text into its parts without reading their values, so that a part which cannot be
 /// read does not make the others unreadable.
 
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -28,4 +29,9 @@
 [[nodiscard]] std::string_view find_json_member(std::vector<json_member> const& members,
                                                 std::string_view name);
 
+/// Reads one value. Other writers may leave values that cannot be read, and only their own objects
+/// may be lost by that.
+/// @returns the value as JSON text; empty if it cannot be read, or is null.
+[[nodiscard]] std::string readable_json(std::string_view text);
+
 } // namespace pistachiohub::object_store
--- a/plugins/admin/admin_duty.cpp
+++ b/plugins/admin/admin_duty.cpp
@@ -68,7 +68,11 @@
 {
     std::string text = "[";
     for (auto const& object : objects)
-        text.append(text.size() > 1 ? "," : "").append(object.value);
+    {
+        text.append(text.size() > 1 ? "," : "");
+        // A value that cannot be read is told as one, so that its counts do not go missing unseen.
+        text.append(object.value.empty() ? "null" : object.value);
+    }
     return text + ']';
 }
 
--- a/plugins/discovery/feeds.cpp
+++ b/plugins/discovery/feeds.cpp
@@ -88,6 +88,8 @@
             events::change<Record> changed{object.name, object.version, std::nullopt};
             try
             {
+                if (object.name.empty())
+                    throw interface::document_error("the object has no name that can be read");
                 if (!object.is_removed)
                     changed.record = decode(object);
             }
@@ -96,7 +98,8 @@
             {
                 log_unreadable(context, kind, object, failure);
             }
-            update.changes.push_back(std::move(changed));
+            if (!object.name.empty())
+                update.changes.push_back(std::move(changed));
         }
         return events::gateway_event(std::move(update));
     };
--- a/tests/store/object_store_test.cpp
+++ b/tests/store/object_store_test.cpp
@@ -36,6 +36,31 @@
     CHECK(m_client.list("journal").objects.size() == 1);
 }
 
+// Guards against one odd object that makes a whole list unreadable, so that a daemon knows no host.
+TEST_CASE("object_store_odd_object_costs_only_itself", "[store]")
+{
+    auto const& spoken = object_store::native_dialect();
+    auto const odd = GENERATE(std::string(R"("caf\ud83d")"),
+                              std::string("\"\xff\""),
+                              "[" + std::string(40, '[') + std::string(40, ']') + "]",
+                              std::string("{broken: []}"));
+    auto const entry = R"({"name": "a", "version": 3, "value": )" + odd + "}";
+    auto const list = R"({"revision": 9, "objects": [)" + entry +
+                      R"(, 5, {"name": 7, "version": 1, "value": 1},
+                         {"name": "b", "version": 4, "value": {"x": 1}}]})";
+    auto const listed = spoken.decode_list(list);
+    CHECK(listed.revision == 9);
+    REQUIRE(listed.objects.size() == 4);
+    CHECK(listed.objects[0].name == "a");
+    CHECK(listed.objects[0].value.empty());
+    CHECK(listed.objects[1].name.empty());
+    CHECK(listed.objects[2].name.empty());
+    CHECK(listed.objects[3].name == "b");
+    CHECK(listed.objects[3].value == R"({"x":1})");
+    CHECK_THROWS(spoken.decode_object(entry));
+    CHECK_THROWS(spoken.decode_list(R"({"revision": 9, "objects": 5})"));
+}
+
 // A lost answer reported as an outage would be counted as not written and written twice.
 TEST_CASE_METHOD(object_store_fixture,
                  "object_store_each_fault_has_its_status",
