--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -439,6 +439,25 @@
                     document_error);
 }
 
+// Guards against a name of another writer that is sent to backend servers as the value of a header:
+// a line break in it would add headers, or a second request.
+TEST_CASE("platform_server_with_an_odd_name_is_refused", "[platform]")
+{
+    auto odd = make_object(server_value, server_status);
+    odd.name = GENERATE(std::string(),
+                        std::string("i 1"),
+                        std::string("i-1\r\nX-Not-Executed: 1"),
+                        std::string("i-1\0", 4),
+                        std::string("i-1\x7f"),
+                        std::string("i&1"),
+                        std::string("i+1"),
+                        std::string("i#1"),
+                        std::string("i%31"),
+                        std::string("caf\xc3\xa9"),
+                        std::string(257, 'i'));
+    CHECK_THROWS_AS(platform::decode_backend_server(odd), document_error);
+}
+
 TEST_CASE("platform_server_in_unknown_state_is_refused", "[platform]")
 {
     auto const observed = GENERATE(std::string(R"({"state": "zombie", "cold_left_ms": 0})"),
