gateway: Take no message with an invalid status for an answer

Cause: every status below 200 counted as an interim answer, so a request whose server had sent 000, 099 or 101 waited until its deadline (504) and its server stayed in use; 600 and 999 reached callers as they were. Ruled out: the parser, which takes any three digits; names of fields with blanks or control bytes and odd lines of a head, which it refuses. Change: a final answer has a status from 200 to 599, and an interim one from 100 to 199 except 101, which no request asks for. Anything else ends the exchange as broken: a repeatable request goes to another server, others get 502.

--- a/plugins/gateway/server_answer.cpp
+++ b/plugins/gateway/server_answer.cpp
@@ -1,12 +1,13 @@
 #include "plugins/gateway/server_answer.hpp"
 
+#include "libraries/http/status.hpp"
+
 namespace pistachiohub::gateway
 {
 
 namespace
 {
 
-constexpr unsigned min_success_status = 200;
 constexpr unsigned min_redirect_status = 300;
 constexpr unsigned misdirected_request = 421;
 
@@ -16,8 +17,10 @@
                                  interface::message_headers const& names,
                                  std::string_view request_id)
 {
-    if (received.status < min_success_status)
+    if (http::is_interim_status(received.status))
         return message_meaning::interim;
+    if (!http::is_final_status(received.status))
+        return message_meaning::invalid;
     auto const id = find_header_value(received.headers, names.request_id);
     if (!id.empty() && id != request_id)
         return message_meaning::other_request;
--- a/plugins/gateway/server_answer.hpp
+++ b/plugins/gateway/server_answer.hpp
@@ -22,6 +22,8 @@
     other_request,
     /// An interim (1xx) answer; the final one follows.
     interim,
+    /// The status is none of HTTP, or ends HTTP on the connection.
+    invalid,
     /// Nothing in the message proves that a backend server made it for this request: the request id
     /// is missing, or a 2xx answer has no signature.
     unproven
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -381,6 +381,8 @@
         if (++skipped_answers > max_skipped_answers || !answer_parser->keep_alive())
             finish(attempt_result::broken, "other_request");
         return;
+    case message_meaning::invalid:
+        return finish(attempt_result::broken, "invalid_status");
     case message_meaning::unproven:
         return finish(attempt_result::broken, "unproven");
     case message_meaning::not_started:
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -177,13 +177,8 @@
     /// Registers a further backend server at the same address.
     void add_second_server()
     {
-        fleet::backend_server server;
-        server.id = "i-2";
-        server.service = "s";
-        server.address = {"127.0.0.1", m_server.port()};
-        server.failure_domain = "sve-a";
-        server.slots = 8;
-        push(events::store_update<fleet::backend_server>{false, 2, {{server.id, 2, server}}});
+        push(events::store_update<fleet::backend_server>{
+            false, 2, {{"i-2", 2, make_server("i-2", m_server)}}});
     }
 
     [[nodiscard]] double metric(std::string const& name) const
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -152,7 +152,8 @@
         document.routes.push_back(route);
     }
 
-    void add_server(std::string const& id, support::raw_listener const& listener)
+    static fleet::backend_server make_server(std::string const& id,
+                                             support::raw_listener const& listener)
     {
         fleet::backend_server server;
         server.id = id;
@@ -160,7 +161,13 @@
         server.address = {"127.0.0.1", listener.port()};
         server.failure_domain = "sve-a";
         server.slots = 8;
-        push(events::store_update<fleet::backend_server>{true, 1, {{id, 1, server}}});
+        return server;
+    }
+
+    void add_server(std::string const& id, support::raw_listener const& listener)
+    {
+        push(events::store_update<fleet::backend_server>{
+            true, 1, {{id, 1, make_server(id, listener)}}});
     }
 
     void push(events::gateway_event event)
--- a/tests/gateway/gateway_wire_test.cpp
+++ b/tests/gateway/gateway_wire_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
 #include <thread>
 
 namespace pistachiohub
@@ -265,6 +266,82 @@
     CHECK(has_status(caller.receive_message(), "502"));
 }
 
+// Guards against a status that is none of HTTP: one below 200 was taken for an interim answer, so
+// that the request waited for another one until its deadline, and one above 599 reached callers.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_answer_with_an_invalid_status_is_not_delivered",
+                 "[gateway][concurrent]")
+{
+    auto const status = GENERATE("000", "001", "099", "101", "600", "999");
+    auto const more = GENERATE("", "X-Not-Executed: 1\r\n");
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    auto const begin = kernel::monotonic_now();
+    server.send(std::string("HTTP/1.1 ") + status +
+                " Odd\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n" + more +
+                "Content-Length: 4\r\n\r\nbody");
+    CHECK(has_status(caller.receive_message(), "502"));
+    // Well before the deadline of the request at 2 s.
+    CHECK(kernel::monotonic_now() - begin < milliseconds(1000));
+    CHECK(server.is_closed_by_peer());
+}
+
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_repeatable_request_behind_an_invalid_status_is_served",
+                 "[gateway][concurrent]")
+{
+    support::raw_listener second;
+    push(events::store_update<fleet::backend_server>{
+        false, 2, {{"i-2", 2, make_server("i-2", second)}}});
+    auto caller = connect();
+    caller.send(get("a"));
+    auto const other =
+        std::async(std::launch::async,
+                   [this, &second]()
+                   {
+                       auto& first_asked = m_server.has_connection(1000) ? m_server : second;
+                       auto odd = first_asked.accept();
+                       static_cast<void>(odd.receive_message());
+                       odd.send("HTTP/1.1 000 Odd\r\nX-Attempt-Id: a\r\n"
+                                "X-Response-Signature: s\r\nContent-Length: 0\r\n\r\n");
+                       auto sound = (&first_asked == &second ? m_server : second).accept();
+                       static_cast<void>(sound.receive_message());
+                       sound.send(answer_to("a", "bytes"));
+                   });
+    auto const answer = caller.receive_message();
+    other.wait();
+    CHECK(has_status(answer, "200"));
+    CHECK(answer.ends_with("\r\n\r\nbytes"));
+}
+
+// A head that is none of HTTP says nothing of the bytes behind it.
+TEST_CASE_METHOD(gateway_fixture,
+                 "gateway_answer_with_an_invalid_field_is_not_delivered",
+                 "[gateway][concurrent]")
+{
+    auto const field = GENERATE(std::string("X Odd: 1"),
+                                std::string("X-Odd : 1"),
+                                std::string("X\tOdd: 1"),
+                                std::string("X\x01Odd: 1"),
+                                std::string("X\0Odd: 1", 8),
+                                std::string("X\x7fOdd: 1"),
+                                std::string("X\xe9Odd: 1"),
+                                std::string(": 1"),
+                                std::string("X-Odd"),
+                                std::string("X-Odd: \x01"),
+                                std::string("X-Odd: \0", 8));
+    auto caller = connect();
+    caller.send(post("a", "b"));
+    auto server = m_server.accept();
+    REQUIRE_FALSE(server.receive_message().empty());
+    server.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n" + field +
+                "\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(has_status(caller.receive_message(), "502"));
+    CHECK(server.is_closed_by_peer());
+}
+
 TEST_CASE_METHOD(gateway_fixture, "gateway_server_connection_is_reused", "[gateway]")
 {
     auto caller = connect();
