http: Skip interim answers in the client, and refuse invalid statuses

Cause: the client of the store and of other hosts took an interim answer for the answer itself. The answer behind it stayed on the connection and met the next request. A status that is none of HTTP ended a call like an answer. Change: up to eight interim answers are skipped; any other status outside of 200 to 599 is a lost answer, and the connection is closed.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,6 +1,7 @@
 #include "libraries/http/client.hpp"
 
 #include "libraries/http/silence_limit.hpp"
+#include "libraries/http/status.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -182,9 +183,8 @@
         fail(failure, "sending was interrupted to");
     }
 
-    response read()
+    void read_message(beast_parser& parser)
     {
-        beast_parser parser;
         parser.body_limit(limits.largest_answer);
         auto const failure = await(
             [&](boost::system::error_code& result)
@@ -199,8 +199,22 @@
             });
         if (failure)
             fail(failure, "no whole answer from");
-        bool const is_kept = parser.get().keep_alive();
-        auto result = to_response(parser.release());
+    }
+
+    response read()
+    {
+        std::optional<beast_parser> parser;
+        unsigned interim_answers = 0;
+        do
+        {
+            parser.emplace();
+            read_message(*parser);
+        } while (is_interim_status(parser->get().result_int()) &&
+                 ++interim_answers <= max_interim_answers);
+        if (!is_final_status(parser->get().result_int()))
+            fail(beast::http::error::bad_status, "no final answer from");
+        bool const is_kept = parser->get().keep_alive();
+        auto result = to_response(parser->release());
         if (!is_kept || buffer.size() != 0)
             close();
         return result;
