http, object_store: Bound answers of the store without end

Cause: trailers and chunk extensions stayed in the client's input buffer, which had no bound, until the time of the call was up. Bodies were bounded at 64 MiB on each connection, of which a daemon has up to ten. Ruled out: heads, which the parser bounds; backend servers' answers, whose tests pass unchanged. Change: unparsed input ends at 64 KiB. An answer of the platform's store or of another host ends at 4 MiB: a page has about 1 MB. A watch with more changes ends as if the history was gone, so that they are read page by page; repeating it would fail for ever. The project's own object API, which lists all objects at once, keeps its limit. Before: store_client_answer_without_end_is_cut_at_a_limit failed for 8 of 12 shapes and store_client_watch_with_too_many_changes_asks_for_a_list on.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -24,6 +24,11 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
+constexpr std::size_t max_unparsed_bytes = 65536;
+// Interim answers before the final one, after which the connection is closed.
+constexpr unsigned max_interim_answers = 8;
+
 using beast_request = beast::http::request<beast::http::string_body>;
 using beast_parser = beast::http::response_parser<beast::http::string_body>;
 
@@ -78,7 +83,7 @@
     client_limits limits;
     asio::io_context context;
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::atomic<bool> is_cancelled{false};
 
     // Runs one asynchronous operation to its end on the calling thread. A close posted by cancel()
@@ -155,6 +160,8 @@
                           failure.message();
         if (failure == beast::error::timeout)
             throw timed_out(text);
+        if (failure == beast::http::error::body_limit)
+            throw too_large(text);
         throw lost_answer(text);
     }
 
@@ -265,6 +272,10 @@
     {
         throw;
     }
+    catch (too_large const&)
+    {
+        throw;
+    }
     catch (http_error const&)
     {
         if (!may_repeat)
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -45,6 +45,13 @@
     using lost_answer::lost_answer;
 };
 
+/// The body of the answer exceeds the limit: the request may have taken effect.
+class too_large : public lost_answer
+{
+public:
+    using lost_answer::lost_answer;
+};
+
 /// cancel() ended the exchange: the request may have taken effect.
 class cancelled : public lost_answer
 {
@@ -105,7 +112,7 @@
 
     /// Sends a request and waits for the answer. A GET is repeated once when a connection that was
     /// kept open turns out to be closed, in the time that is left of `read_timeout`.
-    /// @throws never_sent, lost_answer, timed_out or cancelled.
+    /// @throws never_sent, lost_answer, timed_out, too_large or cancelled.
     [[nodiscard]] response send(request const& wanted);
 
     /// As above, with another read timeout for this exchange.
--- a/libraries/object_store/dialect.hpp
+++ b/libraries/object_store/dialect.hpp
@@ -7,6 +7,7 @@
 #include "libraries/object_store/object.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -54,6 +55,8 @@
     std::uint64_t (*decode_written)(std::string_view body);
     /// Header of all answers with the store's generation; empty if the object API has none.
     std::string_view generation_header{};
+    /// Bytes of the largest answer. An answer that goes on beyond it is not read further.
+    std::size_t largest_answer = std::size_t{64} << 20;
 };
 
 /// @returns what the status of an answer to a read means in each of these object APIs.
--- a/libraries/object_store/object_store.cpp
+++ b/libraries/object_store/object_store.cpp
@@ -18,6 +18,12 @@
 // Longer names may exceed what a store takes in a target.
 constexpr std::size_t max_plain_name_bytes = 256;
 
+http::client_limits limit_answers(http::client_limits limits, dialect const& spoken)
+{
+    limits.largest_answer = std::min(limits.largest_answer, spoken.largest_answer);
+    return limits;
+}
+
 bool is_plain_name(object const& listed)
 {
     return !listed.name.empty() && listed.name.size() <= max_plain_name_bytes &&
@@ -62,7 +68,7 @@
 client::client(kernel::endpoint const& store, http::client_limits limits, dialect const& spoken)
     : m_limits(limits)
     , m_dialect(spoken)
-    , m_http(store.address, store.port, limits)
+    , m_http(store.address, store.port, limit_answers(limits, spoken))
 {
 }
 
@@ -138,7 +144,10 @@
                           m_limits.read_timeout + wait,
                           m_dialect.decode_changes,
                           has_more);
-    if (read.end == status::ok && is_other_generation(since.generation, read.generation))
+    bool const is_restored =
+        read.end == status::ok && is_other_generation(since.generation, read.generation);
+    // More changes than an answer holds can only be read as a list, which comes in pages.
+    if (is_restored || read.is_too_large)
         return {status::history_gone, 0, {}, read.generation};
     return read;
 }
@@ -175,6 +184,12 @@
     {
         return {status::cancelled, 0, {}};
     }
+    catch (http::too_large const&)
+    {
+        list_result refused;
+        refused.is_too_large = true;
+        return refused;
+    }
     catch (http::http_error const&)
     {
         return {status::outage, 0, {}};
--- a/libraries/object_store/object_store.hpp
+++ b/libraries/object_store/object_store.hpp
@@ -39,6 +39,8 @@
     std::uint64_t generation = 0;
     /// See page::age.
     std::optional<std::chrono::milliseconds> age = std::nullopt;
+    /// Whether the answer exceeded dialect::largest_answer.
+    bool is_too_large = false;
 };
 
 /// Result of a conditional update.
@@ -68,7 +70,7 @@
     [[nodiscard]] list_result list(std::string_view kind);
 
     /// Waits up to `wait` for objects that changed after `since`. Ends with `status::history_gone`
-    /// if the store answers in another generation.
+    /// if the store answers in another generation, or with more changes than an answer may hold.
     [[nodiscard]] list_result
     watch(std::string_view kind, position const& since, std::chrono::milliseconds wait);
 
--- a/plugins/discovery/relay_dialect.cpp
+++ b/plugins/discovery/relay_dialect.cpp
@@ -13,6 +13,8 @@
 
 namespace json = boost::json;
 
+// Changes beyond this size are read from the store.
+constexpr std::size_t max_answer_bytes = std::size_t{4} << 20;
 constexpr std::string_view path_prefix = "/v1/changes/";
 constexpr std::string_view after_key = "after=";
 constexpr std::string_view wait_key = "&wait_ms=";
@@ -72,6 +74,7 @@
         auto dialect = object_store::native_dialect();
         dialect.make_watch = make_watch;
         dialect.decode_changes = decode_changes;
+        dialect.largest_answer = max_answer_bytes;
         return dialect;
     }();
     return spoken;
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -633,7 +633,7 @@
     while (block.size() < 4096)
         block += repeated;
     // Well before the deadline of the request at 2 s.
-    CHECK(server.send_until_closed(block, 1500));
+    CHECK(server.send_until_closed(block, 1500).has_value());
     CHECK(has_status(caller.receive_message(), "502"));
     CHECK(metric("pistachiohub_gateway_answer_bytes") == 0);
 }
@@ -658,7 +658,7 @@
     std::string block;
     while (block.size() < 4000)
         block += repeated;
-    CHECK(server.send_until_closed(block, 3500));
+    CHECK(server.send_until_closed(block, 3500).has_value());
     auto const received = rest.get();
     CHECK(has_status(received.bytes, "200"));
     CHECK_FALSE(received.bytes.ends_with("0\r\n\r\n"));
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -20,6 +20,9 @@
 
 using object_store::status;
 
+// Longer than a test waits for the client to close its connection.
+constexpr auto max_wait = std::chrono::milliseconds(5000);
+
 /// The store client in the platform's dialect, and a scripted store.
 class store_client_fixture
 {
@@ -254,4 +257,55 @@
     CHECK(listed.get().end == status::outage);
 }
 
+// Guards against answers without end, which the client kept until its time for the answer was up.
+// The limit of a list of the platform is far below what the sockets hold and the store sends.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_answer_without_end_is_cut_at_a_limit",
+                 "[platform][concurrent]")
+{
+    auto const [framing, repeated] = GENERATE(
+        std::pair<std::string, std::string>("Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                                            "X-More: more\r\n"),
+        std::pair<std::string, std::string>("Transfer-Encoding: chunked\r\n\r\n5;", "more;"),
+        std::pair<std::string, std::string>("Transfer-Encoding: chunked\r\n\r\n",
+                                            "9\r\n123456789\r\n"),
+        std::pair<std::string, std::string>("\r\n", "more"),
+        std::pair<std::string, std::string>("", "X-More: more\r\n"),
+        std::pair<std::string, std::string>("X-More: ", "more"));
+    bool const is_watch = GENERATE(false, true);
+    auto listed = std::async(std::launch::async,
+                             [this, is_watch]()
+                             {
+                                 return is_watch ? m_client->watch("servers", {0, 5}, max_wait)
+                                                 : m_client->list("servers");
+                             });
+    auto connection = m_store.accept();
+    REQUIRE_FALSE(connection.receive_message().empty());
+    connection.send("HTTP/1.1 200 OK\r\n" + framing);
+    std::string block;
+    while (block.size() < 65536)
+        block += repeated;
+    constexpr std::size_t max_sent_bytes = std::size_t{24} << 20;
+    auto const sent = connection.send_until_closed(block, 3000);
+    REQUIRE(sent);
+    CHECK(*sent <= max_sent_bytes);
+    CHECK(listed.get().end != status::ok);
+}
+
+// Changes beyond the limit of an answer can be read as a list, page by page. Repeating the watch
+// would fail for ever.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store_client_watch_with_too_many_changes_asks_for_a_list",
+                 "[platform][concurrent]")
+{
+    auto changes = std::async(std::launch::async,
+                              [this]()
+                              {
+                                  return m_client->watch("servers", {0, 5}, max_wait);
+                              });
+    auto connection = m_store.accept();
+    answer(connection, "200 OK", std::string(std::size_t{5} << 20, ' '));
+    CHECK(changes.get().end == status::history_gone);
+}
+
 } // namespace pistachiohub
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -78,8 +79,10 @@
     }
 }
 
-bool raw_connection::send_until_closed(std::string_view bytes, int limit_ms) const
+std::optional<std::size_t> raw_connection::send_until_closed(std::string_view bytes,
+                                                             int limit_ms) const
 {
+    std::size_t total = 0;
     auto const ends_at = std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
     constexpr int poll_ms = 20;
     while (std::chrono::steady_clock::now() < ends_at)
@@ -90,9 +93,10 @@
         auto const sent =
             ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent < 0 && errno != EAGAIN)
-            return true;
+            return total;
+        total += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
     }
-    return false;
+    return std::nullopt;
 }
 
 raw_connection::remaining_input raw_connection::receive_rest()
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -27,8 +27,9 @@
     void send(std::string_view bytes) const;
 
     /// Sends repetitions of `bytes` until the other side closes the connection or `limit_ms` pass.
-    /// @returns whether the other side closed it.
-    [[nodiscard]] bool send_until_closed(std::string_view bytes, int limit_ms) const;
+    /// @returns the number of bytes that were sent, if the other side closed it.
+    [[nodiscard]] std::optional<std::size_t> send_until_closed(std::string_view bytes,
+                                                               int limit_ms) const;
 
     /// How the input ended, and all of it.
     struct remaining_input
