backend: Close connections whose answer has an invalid status

Cause: on the project's own interface a message with a status like 000 or 100 was no answer, but its connection was used again. A refusal behind it names no request and would have been taken for that of the next one. Change: a status outside of 200 to 599 breaks the connection.

--- a/plugins/backend/server_connection.cpp
+++ b/plugins/backend/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "plugins/backend/server_connection.hpp"
 
+#include "libraries/http/status.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -167,7 +169,8 @@
                      *parser,
                      [self = shared_from_this()](error_code failure, std::size_t)
                      {
-                         if (failure)
+                         if (failure ||
+                             !pistachiohub::http::is_final_status(self->parser->get().result_int()))
                              return self->finish(connection_end::broken);
                          self->may_reuse = self->is_written && self->parser->keep_alive() &&
                                            self->buffer.size() == 0;
--- a/tests/backend/backend_duty_test.cpp
+++ b/tests/backend/backend_duty_test.cpp
@@ -159,6 +159,8 @@
     for (auto const& answer : {answer_to("other", "done"),
                                std::string("garbage\r\n\r\n"),
                                std::string("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+                               std::string("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n"),
+                               std::string("HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n"),
                                too_large})
     {
         dispatch("a");
@@ -171,6 +173,24 @@
     }
 }
 
+// Guards against an answer that is none and leaves its connection in use: a refusal that follows it
+// names no request, and would be taken for that of the next one, which may be running.
+TEST_CASE_METHOD(backend_fixture,
+                 "backend_connection_with_an_invalid_status_is_not_reused",
+                 "[backend][concurrent]")
+{
+    auto const status = GENERATE("000", "100", "101", "999");
+    start();
+    dispatch("a");
+    auto first = accept_request();
+    first.send(std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 0\r\n\r\n");
+    CHECK(end() == attempt_end::broken);
+    dispatch("b");
+    auto second = accept_request();
+    second.send(answer_to("b", "two"));
+    CHECK(result().answer == "two");
+}
+
 // An unsolicited second answer must not be taken for the answer to the next request.
 TEST_CASE_METHOD(backend_fixture,
                  "backend_crossed_answer_on_reused_connection_is_avoided",
