backend, caller: Bound trailers and chunk extensions without end

Cause: the input buffers of the connections to backend servers of the project's own interface, and of the caller library, had no bound, like that of the store's client. The caller library also took any status for an answer. Change: unparsed input ends at 64 KiB; a status outside of 200 to 599 is a lost answer for the caller library.

--- a/libraries/caller/connection.cpp
+++ b/libraries/caller/connection.cpp
@@ -1,5 +1,7 @@
 #include "libraries/caller/connection.hpp"
 
+#include "libraries/http/status.hpp"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +28,8 @@
 /// listens.
 constexpr auto longest_idle_time = std::chrono::milliseconds(500);
 constexpr std::uint64_t answer_limit = 4U << 20U;
+// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
+constexpr std::size_t max_unparsed_bytes = 65536;
 
 struct open_connection
 {
@@ -35,7 +39,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     kernel::monotonic_time used_at;
 };
 
@@ -176,6 +180,8 @@
     connection->stream.expires_at(deadline);
     if (auto const failure = m_implementation->transfer(*connection, prepared, parser))
         return failed(*failure);
+    if (!pistachiohub::http::is_final_status(parser.get().result_int()))
+        return failed(exchange_end::lost);
     auto result = make_result(parser.get());
     if (parser.get().keep_alive())
     {
--- a/plugins/backend/server_connection.cpp
+++ b/plugins/backend/server_connection.cpp
@@ -25,6 +25,8 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t largest_header_block = 8192;
+// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
+constexpr std::size_t max_unparsed_bytes = 65536;
 
 void add_value(std::string& joined, beast::string_view value)
 {
@@ -103,7 +105,7 @@
     beast::tcp_stream stream;
     std::string address;
     tcp::endpoint remote;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::request<http::string_body>> request;
     std::optional<http::response_parser<http::string_body>> parser;
     answer_handler report;
--- a/tests/backend/backend_duty_test.cpp
+++ b/tests/backend/backend_duty_test.cpp
@@ -191,6 +191,28 @@
     CHECK(result().answer == "two");
 }
 
+// Bytes without end are not kept: the connection is closed at a limit, well before the deadline.
+TEST_CASE_METHOD(backend_fixture,
+                 "backend_answer_without_end_is_cut_at_a_limit",
+                 "[backend][concurrent]")
+{
+    auto const [framing, repeated] = GENERATE(
+        std::pair<std::string, std::string>("Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                                            "X-More: more\r\n"),
+        std::pair<std::string, std::string>("Transfer-Encoding: chunked\r\n\r\n5;", "more;"),
+        std::pair<std::string, std::string>("\r\n", "more"),
+        std::pair<std::string, std::string>("X-More: ", "more"));
+    start();
+    dispatch("a");
+    auto connection = accept_request();
+    connection.send("HTTP/1.1 200 OK\r\nRequest-Id: host-1/1024/7/a\r\nAttempt: 1\r\n" + framing);
+    std::string block;
+    while (block.size() < 65536)
+        block += repeated;
+    CHECK(connection.send_until_closed(block, 2000).has_value());
+    CHECK(end() == attempt_end::broken);
+}
+
 // An unsolicited second answer must not be taken for the answer to the next request.
 TEST_CASE_METHOD(backend_fixture,
                  "backend_crossed_answer_on_reused_connection_is_avoided",
--- a/tests/caller/caller_test.cpp
+++ b/tests/caller/caller_test.cpp
@@ -1,8 +1,13 @@
 #include "libraries/caller/caller.hpp"
+#include "libraries/caller/connection.hpp"
 #include "tests/caller/fake_entry_host.hpp"
+#include "tests/support/raw_connection.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <future>
+#include <utility>
+
 namespace pistachiohub
 {
 
@@ -16,6 +21,8 @@
 // Nothing listens on port 1 of 127.0.0.1.
 constexpr std::uint16_t closed_port = 1;
 constexpr auto deadline = std::chrono::milliseconds(2000);
+// Longer than a test waits for the caller to close its connection.
+constexpr auto max_wait = std::chrono::milliseconds(5000);
 
 http_response
 tell(http_request const& request, unsigned status, std::string const& told, std::string const& why)
@@ -224,4 +231,33 @@
     CHECK_THROWS_AS(own.call("lock", "", deadline), caller::lookup_error);
 }
 
+// Bytes without end are not kept, and an answer that is none does not count as one.
+TEST_CASE("caller_answer_that_is_none_is_lost", "[caller][concurrent]")
+{
+    using caller::exchange_end;
+    auto const [head, repeated] = GENERATE(
+        std::pair<std::string, std::string>(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: more\r\n"),
+        std::pair<std::string, std::string>(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "more;"),
+        std::pair<std::string, std::string>("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+                                            "more"));
+    support::raw_listener host;
+    auto received = std::async(
+        std::launch::async,
+        [&host]()
+        {
+            caller::connection_pool pool;
+            return pool.exchange("127.0.0.1", host.port(), {"GET", "/", {}, {}}, max_wait);
+        });
+    auto connection = host.accept();
+    REQUIRE_FALSE(connection.receive_message().empty());
+    connection.send(head);
+    std::string block;
+    while (block.size() < 65536)
+        block += repeated;
+    CHECK(connection.send_until_closed(block, 3000).has_value());
+    CHECK(received.get().end == exchange_end::lost);
+}
+
 } // namespace pistachiohub
