--- a/tests/admin/admin_duty_test.cpp
+++ b/tests/admin/admin_duty_test.cpp
@@ -194,6 +194,9 @@
           std::string::npos);
     m_store.put("settlement", "host-1.5", R"({"a":1})");
     CHECK(get("/v1/settlement").body == R"({"settlement":[{"a":1}],"journal":[]})");
+    // A value that cannot be used is not left out, and leaves the answer readable.
+    m_store.put("settlement", "odd", "null");
+    CHECK(get("/v1/settlement").body == R"({"settlement":[{"a":1},null],"journal":[]})");
     CHECK(post("/v1/quarantine/release", R"({"fingerprint": "ff"})").status == 202);
     CHECK(m_context.shared<kernel::mailbox<events::forward_event>>().size() == 1);
     m_store.is_down = true;
--- a/tests/gateway/answer_stream_test.cpp
+++ b/tests/gateway/answer_stream_test.cpp
@@ -665,6 +665,32 @@
     CHECK(metric("pistachiohub_gateway_answer_bytes") == 0);
 }
 
+// A body without end to a caller that takes nothing of it: the gateway reads no further than a
+// bound, and ends the run when the time of the request is up.
+TEST_CASE_METHOD(answer_stream_fixture,
+                 "answer_stream_without_end_to_a_caller_that_reads_nothing_keeps_a_bound",
+                 "[gateway]")
+{
+    // A quarter of one megabyte, and one part and one write beyond it.
+    constexpr double max_answer_bytes = 250'000 + 16'384 + 65'536 + 16'384;
+    auto [caller, server] = begin(get("a"));
+    server.send(head_of("a", ""));
+    auto sent = std::async(std::launch::async,
+                           [&to = server]()
+                           {
+                               return to.send_until_closed(std::string(65536, 'x'), 4500);
+                           });
+    double most = 0;
+    while (sent.wait_for(milliseconds(10)) != std::future_status::ready)
+        most = std::max(most, metric("pistachiohub_gateway_answer_bytes"));
+    CHECK(sent.get().has_value());
+    CHECK(most <= max_answer_bytes);
+    auto const received = caller.receive_rest();
+    CHECK(has_status(received.bytes, "200"));
+    CHECK_FALSE(received.bytes.ends_with("0\r\n\r\n"));
+    CHECK(metric("pistachiohub_gateway_answer_bytes") == 0);
+}
+
 // An answer that trickles in holds nobody else up, and ends with the deadline of its request.
 TEST_CASE_METHOD(answer_stream_fixture, "answer_that_trickles_ends_at_the_deadline", "[gateway]")
 {
