http: Share the limit of unparsed input between clients

Cause: three connections had the same constant with the same reason, found when reading the change. Change: libraries/http/answer_limits.hpp holds it. The comment on unreadable settlements says what it prevents.

--- a/libraries/caller/connection.cpp
+++ b/libraries/caller/connection.cpp
@@ -1,5 +1,6 @@
 #include "libraries/caller/connection.hpp"
 
+#include "libraries/http/answer_limits.hpp"
 #include "libraries/http/status.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -28,8 +29,6 @@
 /// listens.
 constexpr auto longest_idle_time = std::chrono::milliseconds(500);
 constexpr std::uint64_t answer_limit = 4U << 20U;
-// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
-constexpr std::size_t max_unparsed_bytes = 65536;
 
 struct open_connection
 {
@@ -39,7 +38,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer{max_unparsed_bytes};
+    beast::flat_buffer buffer{pistachiohub::http::max_unparsed_bytes};
     kernel::monotonic_time used_at;
 };
 
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -1,5 +1,6 @@
 #include "libraries/http/client.hpp"
 
+#include "libraries/http/answer_limits.hpp"
 #include "libraries/http/silence_limit.hpp"
 #include "libraries/http/status.hpp"
 
@@ -24,8 +25,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
-constexpr std::size_t max_unparsed_bytes = 65536;
 // Interim answers before the final one, after which the connection is closed.
 constexpr unsigned max_interim_answers = 8;
 
--- a/plugins/admin/admin_duty.cpp
+++ b/plugins/admin/admin_duty.cpp
@@ -70,7 +70,7 @@
     for (auto const& object : objects)
     {
         text.append(text.size() > 1 ? "," : "");
-        // A value that cannot be read is told as one, so that its counts do not go missing unseen.
+        // Left out, a value that cannot be read would hide that its counts are missing.
         text.append(object.value.empty() ? "null" : object.value);
     }
     return text + ']';
--- a/plugins/backend/server_connection.cpp
+++ b/plugins/backend/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "plugins/backend/server_connection.hpp"
 
+#include "libraries/http/answer_limits.hpp"
 #include "libraries/http/status.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,8 +26,6 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t largest_header_block = 8192;
-// Input that is not parsed yet. A chunk extension or trailers that do not end are refused there.
-constexpr std::size_t max_unparsed_bytes = 65536;
 
 void add_value(std::string& joined, beast::string_view value)
 {
@@ -105,7 +104,7 @@
     beast::tcp_stream stream;
     std::string address;
     tcp::endpoint remote;
-    beast::flat_buffer buffer{max_unparsed_bytes};
+    beast::flat_buffer buffer{pistachiohub::http::max_unparsed_bytes};
     std::optional<http::request<http::string_body>> request;
     std::optional<http::response_parser<http::string_body>> parser;
     answer_handler report;
