--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -21,7 +21,8 @@
 import messages as wire  # noqa: E402
 from metadata_store import MetadataStore  # noqa: E402
 
-ADDRESS = "127.0.0.1"
+# A loopback address of its own, so that runs side by side do not take each other's ports.
+ADDRESS = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}.1"
 HOST = "shop.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -35,17 +36,22 @@
 HEARTBEAT_MS = 1500
 
 
+used_ports = set()
+
+
 def free_ports(count):
-    """Ports below the range from which the kernel takes those of outgoing connections."""
-    sockets = []
-    while len(sockets) < count:
+    """Ports below the range from which the kernel takes those of outgoing connections, each given out once."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        if port in used_ports:
+            continue
         try:
-            sockets.append(socket.create_server((ADDRESS, random.randrange(12000, 30000))))
+            socket.create_server((ADDRESS, port)).close()
         except OSError:
             continue
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+        used_ports.add(port)
+        ports.append(port)
     return ports
 
 
@@ -322,6 +328,7 @@
         [self.store_port] = free_ports(1)
 
     def record(self, text):
+        text = text if len(text) <= 300 else text[:60] + f"... ({len(text)} characters)"
         self.lines.append(f"{time.monotonic() - self.began_at:9.3f} {text}")
 
     def say(self, text):
