--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -398,6 +398,13 @@
         return code
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
-    code = loop.run_until_complete(run())
+    playing = loop.create_task(run())
+    # A script that is ended early still ends what it has started.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, playing.cancel)
+    try:
+        code = loop.run_until_complete(playing)
+    except asyncio.CancelledError:
+        code = NOT_RUN
     sys.stdout.flush()
     os._exit(code)
