--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -172,6 +172,7 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
+        # Set by run.sh.
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.lines, self.began = [], time.monotonic()
         self.daemons = []
