gateway: Withhold promises of servers that ran a request

Only 421 and the header for refusals prove that nothing ran; classify_message() knew that, and so did the retries, but not the delivery. Ruled out: the status unchanged (REFUSED), or another status with the server's signature (MIXED); the server's body, headers and Retry-After with a 502, since they belong to another status, and the pause that the server wants is meant for this host; 503 for requests that may be repeated, since their callers read it in the same way, and count as not run what the settlement counts as run. Change: one function, use_of_answer(kind, status), decides for each answer that proves nothing: 408, 421, 429 and 503 never reach a caller, who gets a 502 with the reason unproven_refusal. Requests that may be repeated are tried at another server before, also after 408 and 429. An answer of these statuses that is too large to be collected ends at its head: before, 408 and 429 were passed on in parts, and a 503 was settled as unresolved. The log line answer_withheld names the server's status, the counter the reason; the settlement says ran; load, pause and limit are read as before. Also looked at: the gateway passes on no answer of another host and shares none between requests; the project's own interface takes only 503 with Not-Started: 1 and a fitting id for a refusal (server_protocol_only_503_with_not_started_ is_refused).

--- a/plugins/gateway/dispatcher.cpp
+++ b/plugins/gateway/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "plugins/gateway/affinity.hpp"
 #include "plugins/gateway/cold_allowance.hpp"
+#include "plugins/gateway/server_answer.hpp"
 #include "plugins/gateway/server_choice.hpp"
 #include "plugins/memory/server_bytes.hpp"
 
@@ -79,12 +80,6 @@
     return status >= first_error;
 }
 
-bool is_server_error(unsigned status)
-{
-    constexpr unsigned first_server_error = 500;
-    return status >= first_server_error;
-}
-
 } // namespace
 
 std::string_view to_string(attempt_result value)
@@ -414,13 +409,11 @@
             record_broken_send(*request, now);
     }
     auto const service = request->service;
-    bool const is_retryable_error = end.result == attempt_result::answered &&
-                                    is_server_error(end.received.status) &&
-                                    request->route->kind == routing::request_kind::idempotent;
-    if (end.result != attempt_result::answered || is_retryable_error)
+    bool const is_retried = use_of_answer(request->route->kind, end.received.status).is_retried;
+    if (end.result != attempt_result::answered || is_retried)
         retry_or_fail(request, std::move(end), now);
     else
-        finish(request, std::move(end.received), "served", now);
+        deliver(request, std::move(end.received), "served", now);
     send_waiting(service, now);
 }
 
@@ -481,10 +474,32 @@
         return dispatch(request, now);
     }
     if (end.result == attempt_result::answered)
-        return finish(request, std::move(end.received), "server_failure", now);
+        return deliver(request, std::move(end.received), "server_failure", now);
     refuse(request, request->may_have_run ? refusal::broken_off : refusal::not_started, now);
 }
 
+void dispatcher::deliver(request_pointer const& request,
+                         answer&& received,
+                         std::string_view outcome,
+                         kernel::monotonic_time now)
+{
+    if (use_of_answer(request->route->kind, received.status).is_passed_on)
+        return finish(request, std::move(received), outcome, now);
+    constexpr auto cause = refusal::unproven_refusal;
+    m_metrics.find_counter("pistachiohub_gateway_refusals_total", {"reason", to_string(cause)})
+        .increment();
+    if (m_request_log.admit(now))
+        kernel::log_event(kernel::log_level::info,
+                          "gateway",
+                          "answer_withheld",
+                          {{"id", std::string_view(request->id)},
+                           {"server", std::string_view(request->server->record.id)},
+                           {"status", received.status},
+                           {"reason", to_string(cause)},
+                           {"suppressed", m_request_log.take_suppressed()}});
+    finish(request, make_refusal(cause, std::nullopt), to_string(cause), now);
+}
+
 void dispatcher::remove_waiting(request_pointer const& request)
 {
     if (request->route == nullptr)
--- a/plugins/gateway/dispatcher.hpp
+++ b/plugins/gateway/dispatcher.hpp
@@ -320,6 +320,12 @@
     retry_or_fail(request_pointer const& request, attempt_end&& end, kernel::monotonic_time now);
     [[nodiscard]] bool
     may_retry(request_pointer const& request, attempt_result result, kernel::monotonic_time now);
+    /// Ends a request with the answer of a backend server that may have run it, or with a failure
+    /// where the answer would mislead its caller.
+    void deliver(request_pointer const& request,
+                 answer&& received,
+                 std::string_view outcome,
+                 kernel::monotonic_time now);
     void finish(request_pointer const& request,
                 answer&& response,
                 std::string_view outcome,
--- a/plugins/gateway/refusal.cpp
+++ b/plugins/gateway/refusal.cpp
@@ -19,7 +19,7 @@
 refusal_status const& status_of(refusal cause)
 {
     // In the order of the enumerators of `refusal`.
-    static constexpr std::array<refusal_status, 18> statuses{{
+    static constexpr std::array<refusal_status, 19> statuses{{
         {"no_configuration", 503, "Service Unavailable"},
         {"no_route", 404, "Not Found"},
         {"no_server", 503, "Service Unavailable"},
@@ -28,6 +28,7 @@
         {"not_started", 503, "Service Unavailable"},
         {"broken_off", 502, "Bad Gateway"},
         {"timed_out", 504, "Gateway Timeout"},
+        {"unproven_refusal", 502, "Bad Gateway"},
         {"malformed", 400, "Bad Request"},
         {"header_too_large", 431, "Request Header Fields Too Large"},
         {"body_too_large", 413, "Payload Too Large"},
--- a/plugins/gateway/refusal.hpp
+++ b/plugins/gateway/refusal.hpp
@@ -31,6 +31,8 @@
     broken_off,
     /// The request was sent and no answer arrived before the deadline. It may have run.
     timed_out,
+    /// A backend server that ran the request answered with a status that promises the opposite.
+    unproven_refusal,
     /// The request is not valid HTTP.
     malformed,
     /// The request's header exceeds the configured limit.
--- a/plugins/gateway/server_answer.cpp
+++ b/plugins/gateway/server_answer.cpp
@@ -9,7 +9,11 @@
 {
 
 constexpr unsigned min_redirect_status = 300;
+constexpr unsigned first_server_error = 500;
+constexpr unsigned request_timeout = 408;
 constexpr unsigned misdirected_request = 421;
+constexpr unsigned too_many_requests = 429;
+constexpr unsigned service_unavailable = 503;
 
 } // namespace
 
@@ -35,4 +39,17 @@
     return message_meaning::answer;
 }
 
+bool promises_not_run(unsigned status)
+{
+    return status == request_timeout || status == misdirected_request ||
+           status == too_many_requests || status == service_unavailable;
+}
+
+answer_use use_of_answer(routing::request_kind kind, unsigned status)
+{
+    bool const is_misleading = promises_not_run(status);
+    bool const is_failure = is_misleading || status >= first_server_error;
+    return {is_failure && kind == routing::request_kind::idempotent, !is_misleading};
+}
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_answer.hpp
+++ b/plugins/gateway/server_answer.hpp
@@ -4,6 +4,7 @@
 /// Classification of messages that backend servers send.
 
 #include "libraries/interface/interface.hpp"
+#include "libraries/routing/route.hpp"
 #include "plugins/gateway/request.hpp"
 
 #include <string_view>
@@ -35,4 +36,23 @@
                                                interface::message_headers const& names,
                                                std::string_view request_id);
 
+/// @returns whether callers take a status for the promise that the request has not run and never
+/// will, whoever sends it.
+[[nodiscard]] bool promises_not_run(unsigned status);
+
+/// What is done with an answer to a request that may have run.
+struct answer_use
+{
+    /// Another backend server is tried first, if that is possible.
+    bool is_retried = false;
+    /// The caller gets it unchanged. Otherwise he gets a failure of the gateway, without anything
+    /// of the answer: its status would be an untrue promise, and its body and headers belong to
+    /// that status.
+    bool is_passed_on = true;
+};
+
+/// Decides on a `message_meaning::answer`. An answer that proves that the request did not run is
+/// `message_meaning::not_started` and does not come here.
+[[nodiscard]] answer_use use_of_answer(routing::request_kind kind, unsigned status);
+
 } // namespace pistachiohub::gateway
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -381,6 +381,12 @@
         finish(attempt_result::not_started, "");
         return false;
     }
+    // The caller does not get it, and its head says what it says of the request.
+    if (promises_not_run(received.status))
+    {
+        finish(attempt_result::answered, "");
+        return false;
+    }
     constexpr unsigned first_server_error = 500;
     if (received.status >= first_server_error)
     {
