http: Keep heads in storage that only the limits bound

Beast's fields hold names and values of less than 64 KiB and throw std::length_error beyond; the parser calls them from the handler of a read, and what leaves a handler ends the process (duty_failed). Under the ordinary configuration a server's answer with one such trailer did the same, since trailers of answers were stored as headers. Ruled out: 431 for what lies between the storage's bound and the configured one: a proper request refused; a smaller largest limit in decode_limits(), which would make a configuration unreadable that the operator may write; catching exceptions around a handler or the loop: the path of input reports errors as codes, so that what is thrown there is a defect or the end of memory, and one that is hidden here would hide the next. Change: bounded_parser keeps head and body itself; its only bound is the configured one, refused with 431, the reason header_too_large, a log line and a counter as before. The clients of the store, of the backend interface and of callers write their requests as text in place of Beast's fields, which threw in the same way. An answer's head may be larger by twice the id of its request, which the server repeats and the caller chooses. Chunk headers and trailers count when they are complete too: before, whether 64 to 80 KiB of trailers were accepted depended on the cut.

--- a/libraries/caller/connection.cpp
+++ b/libraries/caller/connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -21,9 +22,7 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 using asio::ip::tcp;
-using http_request = http::request<http::string_body>;
 using pistachiohub::http::answer_parser;
 using pistachiohub::http::message_head;
 
@@ -45,18 +44,13 @@
     kernel::monotonic_time used_at;
 };
 
-http_request make_request(std::string const& address, exchange_request const& request)
+std::string make_request(std::string const& address, exchange_request const& request)
 {
-    http_request result;
-    result.version(11);
-    result.method_string(request.method);
-    result.target(request.target);
-    result.set(http::field::host, address);
+    std::vector<pistachiohub::http::header> headers{{"Host", address}};
     for (auto const& [name, value] : request.headers)
-        result.set(name, value);
-    result.body() = request.body;
-    result.prepare_payload();
-    return result;
+        headers.push_back({name, value});
+    return pistachiohub::http::serialize_request(
+        request.method, request.target, headers, request.body);
 }
 
 exchange_result make_result(message_head const& head, std::string&& body)
@@ -136,12 +130,12 @@
 
     // Returns nothing on success.
     std::optional<exchange_end>
-    transfer(open_connection& connection, http_request const& request, answer_parser& parser)
+    transfer(open_connection& connection, std::string const& request, answer_parser& parser)
     {
         auto failure = wait(
             [&](auto handler)
             {
-                http::async_write(connection.stream, request, handler);
+                asio::async_write(connection.stream, asio::buffer(request), handler);
             });
         if (!failure)
         {
@@ -185,7 +179,7 @@
     connection->stream.expires_at(deadline);
     if (auto const failure = m_implementation->transfer(*connection, prepared, parser))
         return failed(*failure);
-    auto const head = parser.head();
+    auto const& head = parser.head();
     if (!pistachiohub::http::is_final_status(head.status))
         return failed(exchange_end::lost);
     auto result = make_result(head, std::move(parser.body()));
--- a/libraries/http/bounded_parser.cpp
+++ b/libraries/http/bounded_parser.cpp
@@ -10,10 +10,9 @@
 
 namespace beast_http = boost::beast::http;
 
-// What Beast and the allocator add to the text of a field: two list hooks, three pointers of a tree
-// node, two lengths, a number and the allocation's own header. Fields of one byte are most
-// expensive.
-constexpr std::size_t memory_of_field = 96;
+// What a field occupies beside its text, with the spare capacity of a list that grows. Fields of
+// one byte are most expensive.
+constexpr std::size_t memory_of_field = 2 * sizeof(header);
 // The last chunk without an extension, and the length of the shortest chunked body.
 constexpr std::string_view last_chunk = "0\r\n";
 constexpr std::size_t min_chunked_body = 5;
@@ -26,6 +25,15 @@
     return text.size() < min_chunked_body && text.starts_with(last_chunk);
 }
 
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view whitespace = " \t";
+    auto const first = text.find_first_not_of(whitespace);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
+}
+
 } // namespace
 
 template<bool is_request>
@@ -49,8 +57,9 @@
         failure = beast_http::error::need_more;
         return 0;
     }
-    // The head is parsed alone, so that its bytes can be counted and the body's beginning is known.
-    this->eager(!was_in_head);
+    m_is_chunk_header_read = false;
+    // One section at a time, so that its bytes can be counted.
+    this->eager(false);
     auto const used = this->put(input, failure);
     m_is_body_begun = m_is_body_begun || (!was_in_head && used > 0);
     bool const needs_more = failure == beast_http::error::need_more;
@@ -60,8 +69,8 @@
     auto const kept = needs_more ? input.size() - used : 0;
     if (was_in_head)
         m_head_bytes += used;
-    auto const counted = was_in_head ? m_head_bytes + kept : kept;
-    if (counted > m_limit)
+    auto const read = was_in_head ? m_head_bytes : m_is_chunk_header_read ? used : 0;
+    if (read + kept > m_limit)
         failure = beast_http::error::header_limit;
     return used;
 }
@@ -86,56 +95,90 @@
 }
 
 template<bool is_request>
-message_head bounded_parser<is_request>::head() const
+std::size_t bounded_parser<is_request>::memory() const
 {
-    auto const& message = this->get();
-    message_head result;
-    if constexpr (is_request)
-    {
-        result.method = std::string(message.method_string());
-        result.target = std::string(message.target());
-    }
-    else
-    {
-        result.status = message.result_int();
-        result.reason = std::string(message.reason());
-    }
-    result.version = message.version();
-    result.headers.reserve(static_cast<std::size_t>(std::distance(message.begin(), message.end())));
-    for (auto const& field : message)
-        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    return result;
+    return m_field_memory + m_body.size();
 }
 
 template<bool is_request>
-std::string& bounded_parser<is_request>::body()
+void bounded_parser<is_request>::on_request_impl(
+    beast_http::verb /*method*/, text method_text, text target, int version, error_code& failure)
 {
-    return this->get().body();
+    failure = {};
+    m_head.method = std::string(method_text);
+    m_head.target = std::string(target);
+    m_head.version = static_cast<unsigned>(version);
 }
 
 template<bool is_request>
-std::string const& bounded_parser<is_request>::body() const
+void bounded_parser<is_request>::on_response_impl(int status,
+                                                  text reason,
+                                                  int version,
+                                                  error_code& failure)
 {
-    return this->get().body();
+    failure = {};
+    m_head.status = static_cast<unsigned>(status);
+    m_head.reason = std::string(reason);
+    m_head.version = static_cast<unsigned>(version);
 }
 
 template<bool is_request>
-std::size_t bounded_parser<is_request>::memory() const
+void bounded_parser<is_request>::on_field_impl(beast_http::field /*name*/,
+                                               text name_text,
+                                               text value,
+                                               error_code& failure)
 {
-    return m_field_memory + body().size();
+    failure = {};
+    if (is_header_done())
+        return;
+    m_field_memory += memory_of_field + name_text.size() + value.size();
+    m_head.headers.push_back({std::string(name_text), std::string(trim(value))});
 }
 
 template<bool is_request>
-void bounded_parser<is_request>::on_field_impl(beast_http::field name,
-                                               boost::beast::string_view name_string,
-                                               boost::beast::string_view value,
-                                               boost::system::error_code& failure)
+void bounded_parser<is_request>::on_header_impl(error_code& failure)
+{
+    failure = {};
+}
+
+template<bool is_request>
+void bounded_parser<is_request>::on_body_init_impl(body_length const& length, error_code& failure)
+{
+    failure = {};
+    // The owner has admitted the length that a request announces; a server may announce any.
+    if (is_request && length)
+        m_body.reserve(static_cast<std::size_t>(*length));
+}
+
+template<bool is_request>
+std::size_t bounded_parser<is_request>::on_body_impl(text part, error_code& failure)
+{
+    failure = {};
+    m_body.append(part);
+    return part.size();
+}
+
+template<bool is_request>
+void bounded_parser<is_request>::on_chunk_header_impl(std::uint64_t /*size*/,
+                                                      text /*extensions*/,
+                                                      error_code& failure)
+{
+    failure = {};
+    m_is_chunk_header_read = true;
+}
+
+template<bool is_request>
+std::size_t bounded_parser<is_request>::on_chunk_body_impl(std::uint64_t /*rest*/,
+                                                           text part,
+                                                           error_code& failure)
+{
+    return on_body_impl(part, failure);
+}
+
+template<bool is_request>
+void bounded_parser<is_request>::on_finish_impl(error_code& failure)
 {
     failure = {};
-    if (is_header_done())
-        return;
-    m_field_memory += memory_of_field + name_string.size() + value.size();
-    this->get().insert(name, name_string, value);
 }
 
 template class bounded_parser<true>;
--- a/libraries/http/bounded_parser.hpp
+++ b/libraries/http/bounded_parser.hpp
@@ -6,8 +6,7 @@
 
 #include "libraries/http/message.hpp"
 
-#include <boost/beast/core/buffers_range.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -20,76 +19,27 @@
 /// Bounds of one message.
 struct parser_limits
 {
-    /// Largest head, and largest part of a chunked body that a parser keeps unread: the extensions
-    /// of a chunk, or all trailers.
+    /// Largest head, and largest part of a chunked body beside its bytes: the header of a chunk, or
+    /// the last chunk with all trailers.
     std::uint32_t header_bytes = 8192;
     /// Largest body; nothing if another part of the program bounds it.
     std::optional<std::uint64_t> body_bytes = 0;
 };
 
-namespace detail
-{
-
-/// A body whose received bytes can be taken out at any time. In contrast to Beast's `string_body`
-/// it reserves memory only for a request, whose announced length has been admitted: a server may
-/// announce any length.
-template<bool is_request>
-struct text_body
-{
-    using value_type = std::string;
-
-    class reader
-    {
-    public:
-        template<bool is_request_header, class Fields>
-        reader(boost::beast::http::header<is_request_header, Fields>& /*header*/, value_type& body)
-            : m_body(body)
-        {
-        }
-
-        void init(boost::optional<std::uint64_t> const& length, boost::system::error_code& failure)
-        {
-            failure = {};
-            if (is_request && length)
-                m_body.reserve(static_cast<std::size_t>(*length));
-        }
-
-        template<class Buffers>
-        std::size_t put(Buffers const& buffers, boost::system::error_code& failure)
-        {
-            failure = {};
-            std::size_t count = 0;
-            for (auto const part : boost::beast::buffers_range_ref(buffers))
-            {
-                m_body.append(static_cast<char const*>(part.data()), part.size());
-                count += part.size();
-            }
-            return count;
-        }
-
-        void finish(boost::system::error_code& failure)
-        {
-            failure = {};
-        }
-
-    private:
-        value_type& m_body;
-    };
-};
-
-} // namespace detail
-
 /// Reads one message. In contrast to Beast's parser, the whole head is bounded, however it is cut
 /// into reads, trailers or a chunk extension that do not end are refused, and no cut of the input
 /// fails an assertion. Trailers are checked and dropped, because a header that arrives behind the
 /// body must not act like one before it.
 ///
+/// A head is kept in `message_head`, whose only bound is `parser_limits`: the fields of Beast's
+/// messages have names and values of less than 64 KiB, and throw an exception beyond that.
+///
 /// All messages of other processes are read by this class. Beast's functions for whole messages
 /// would hand their input to its parser as it arrives.
 template<bool is_request>
-class bounded_parser : private boost::beast::http::parser<is_request, detail::text_body<is_request>>
+class bounded_parser : private boost::beast::http::basic_parser<is_request>
 {
-    using base = boost::beast::http::parser<is_request, detail::text_body<is_request>>;
+    using base = boost::beast::http::basic_parser<is_request>;
 
 public:
     explicit bounded_parser(parser_limits const& limits);
@@ -123,25 +73,55 @@
     /// @returns the announced length of the body; valid with a complete head.
     using base::content_length;
 
-    /// @returns the head, once it is complete.
-    [[nodiscard]] message_head head() const;
+    /// @returns the head, once it is complete; it may be moved from.
+    [[nodiscard]] message_head& head()
+    {
+        return m_head;
+    }
 
     /// @returns the bytes of the body that were received and not taken out.
-    [[nodiscard]] std::string& body();
-    [[nodiscard]] std::string const& body() const;
+    [[nodiscard]] std::string& body()
+    {
+        return m_body;
+    }
+
+    [[nodiscard]] std::string const& body() const
+    {
+        return m_body;
+    }
 
     /// @returns the memory that the message occupies in the parser, in bytes.
     [[nodiscard]] std::size_t memory() const;
 
 private:
+    using text = boost::beast::string_view;
+    using error_code = boost::system::error_code;
+    using body_length = boost::optional<std::uint64_t>;
+
+    void on_request_impl(boost::beast::http::verb method,
+                         text method_text,
+                         text target,
+                         int version,
+                         error_code& failure) override;
+    void on_response_impl(int status, text reason, int version, error_code& failure) override;
     void on_field_impl(boost::beast::http::field name,
-                       boost::beast::string_view name_string,
-                       boost::beast::string_view value,
-                       boost::system::error_code& failure) override;
-
+                       text name_text,
+                       text value,
+                       error_code& failure) override;
+    void on_header_impl(error_code& failure) override;
+    void on_body_init_impl(body_length const& length, error_code& failure) override;
+    std::size_t on_body_impl(text part, error_code& failure) override;
+    void on_chunk_header_impl(std::uint64_t size, text extensions, error_code& failure) override;
+    std::size_t on_chunk_body_impl(std::uint64_t rest, text part, error_code& failure) override;
+    void on_finish_impl(error_code& failure) override;
+
+    message_head m_head;
+    std::string m_body;
     std::uint32_t m_limit;
     std::size_t m_head_bytes = 0;
     std::size_t m_field_memory = 0;
+    /// The last call has read a chunk header, with all trailers if it is the last one.
+    bool m_is_chunk_header_read = false;
     /// Some of the body has been used.
     bool m_is_body_begun = false;
 };
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -30,26 +31,16 @@
 constexpr unsigned max_interim_answers = 8;
 constexpr std::uint32_t largest_header_bytes = 8192;
 
-using beast_request = beast::http::request<beast::http::string_body>;
-
-beast_request to_beast(request const& wanted, std::string const& host)
+std::string to_text(request const& wanted, std::string const& host)
 {
-    beast_request message;
-    message.version(11);
-    message.method_string(wanted.method);
-    message.target(wanted.target);
-    message.set(beast::http::field::host, host);
-    for (auto const& field : wanted.headers)
-        message.set(field.name, field.value);
-    message.body() = wanted.body;
-    message.prepare_payload();
-    return message;
+    std::vector<header> headers{{"Host", host}};
+    headers.insert(headers.end(), wanted.headers.begin(), wanted.headers.end());
+    return serialize_request(wanted.method, wanted.target, headers, wanted.body);
 }
 
 response to_response(answer_parser& parser)
 {
-    auto head = parser.head();
-    return {head.status, std::move(head.headers), std::move(parser.body())};
+    return {parser.head().status, std::move(parser.head().headers), std::move(parser.body())};
 }
 
 } // namespace
@@ -157,15 +148,15 @@
         throw lost_answer(text);
     }
 
-    void write(beast_request const& message)
+    void write(std::string const& text)
     {
         std::size_t sent = 0;
         auto const failure = await(
             [&](boost::system::error_code& result)
             {
-                beast::http::async_write(
+                asio::async_write(
                     stream,
-                    message,
+                    asio::buffer(text),
                     [&result, &sent](boost::system::error_code code, std::size_t bytes)
                     {
                         result = code;
@@ -218,7 +209,7 @@
         return result;
     }
 
-    response exchange(beast_request const& message,
+    response exchange(std::string const& text,
                       kernel::duration read_timeout,
                       kernel::monotonic_time deadline)
     {
@@ -226,7 +217,7 @@
         if (!is_usable())
             connect(deadline);
         stream.expires_at(std::min(kernel::monotonic_now() + read_timeout, deadline));
-        write(message);
+        write(text);
         return read();
     }
 };
@@ -246,14 +237,14 @@
 response client::send(request const& wanted, kernel::duration read_timeout)
 {
     auto& own = *m_implementation;
-    auto const message = to_beast(wanted, own.address + ':' + std::to_string(own.port));
+    auto const text = to_text(wanted, own.address + ':' + std::to_string(own.port));
     bool const is_open = own.is_usable();
     bool const may_repeat = wanted.method == "GET" && is_open;
     auto const deadline = kernel::monotonic_now() + read_timeout +
                           (is_open ? kernel::duration{} : own.limits.connect_timeout);
     try
     {
-        return own.exchange(message, read_timeout, deadline);
+        return own.exchange(text, read_timeout, deadline);
     }
     catch (timed_out const&)
     {
@@ -272,7 +263,7 @@
         if (!may_repeat)
             throw;
     }
-    return own.exchange(message, read_timeout, deadline);
+    return own.exchange(text, read_timeout, deadline);
 }
 
 void client::disconnect()
--- a/libraries/http/message.cpp
+++ b/libraries/http/message.cpp
@@ -28,4 +28,18 @@
     return std::nullopt;
 }
 
+std::string serialize_request(std::string_view method,
+                              std::string_view target,
+                              std::span<header const> headers,
+                              std::string_view body)
+{
+    std::string text(method);
+    text.append(" ").append(target).append(" HTTP/1.1\r\n");
+    for (auto const& field : headers)
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (!body.empty() || method == "POST" || method == "PUT")
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    return text.append("\r\n").append(body);
+}
+
 } // namespace pistachiohub::http
--- a/libraries/http/message.hpp
+++ b/libraries/http/message.hpp
@@ -42,4 +42,11 @@
 [[nodiscard]] std::optional<std::string_view> find_header(std::span<header const> headers,
                                                           std::string_view name);
 
+/// @returns the text of a request, with the length of a body where there is one or may be one.
+/// @param headers all others, with `Host`.
+[[nodiscard]] std::string serialize_request(std::string_view method,
+                                            std::string_view target,
+                                            std::span<header const> headers,
+                                            std::string_view body);
+
 } // namespace pistachiohub::http
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -159,7 +159,7 @@
     void handle()
     {
         m_use = connection_use::running;
-        auto head = m_parser->head();
+        auto& head = m_parser->head();
         m_is_kept = m_parser->keep_alive();
         auto const& target = head.target;
         auto const query = target.find('?');
--- a/plugins/backend/server_connection.cpp
+++ b/plugins/backend/server_connection.cpp
@@ -5,6 +5,7 @@
 #include "libraries/http/status.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -22,7 +23,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 namespace messages = pistachiohub::http;
 using asio::ip::tcp;
 using boost::system::error_code;
@@ -59,27 +59,24 @@
     return answer;
 }
 
-http::request<http::string_body>
-make_request(server_request&& request, std::string const& host, kernel::monotonic_time deadline)
+std::string make_request(server_request const& request,
+                         std::string const& host,
+                         kernel::monotonic_time deadline)
 {
-    constexpr unsigned http_1_1 = 11;
-    http::request<http::string_body> made(request.is_post ? http::verb::post : http::verb::get,
-                                          {request.target.data(), request.target.size()},
-                                          http_1_1);
-    made.set(http::field::host, host);
+    std::vector<messages::header> headers{{"Host", host}};
     if (!request.request_id.empty())
-        made.set("Request-Id", request.request_id);
+        headers.push_back({"Request-Id", request.request_id});
     if (!request.attempt.empty())
-        made.set("Attempt", request.attempt);
+        headers.push_back({"Attempt", request.attempt});
     if (request.has_deadline)
     {
         auto const remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
             deadline - kernel::monotonic_now());
-        made.set("Deadline-Ms", std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+        headers.push_back(
+            {"Deadline-Ms", std::to_string(std::max<std::int64_t>(remaining.count(), 1))});
     }
-    made.body() = std::move(request.body);
-    made.prepare_payload();
-    return made;
+    return messages::serialize_request(
+        request.is_post ? "POST" : "GET", request.target, headers, request.body);
 }
 
 } // namespace
@@ -106,7 +103,7 @@
     std::string address;
     tcp::endpoint remote;
     beast::flat_buffer buffer{messages::max_unparsed_bytes};
-    std::optional<http::request<http::string_body>> request;
+    std::string request;
     std::optional<messages::answer_parser> parser;
     answer_handler report;
     bool is_closed = false;
@@ -138,7 +135,7 @@
                                               kernel::monotonic_time deadline,
                                               answer_handler&& handle)
 {
-    request.emplace(make_request(std::move(wanted), address, deadline));
+    request = make_request(wanted, address, deadline);
     report = std::move(handle);
     may_reuse = false;
     is_written = false;
@@ -150,8 +147,8 @@
 
 void server_connection::implementation::write()
 {
-    http::async_write(stream,
-                      *request,
+    asio::async_write(stream,
+                      asio::buffer(request),
                       [self = shared_from_this()](error_code failure, std::size_t bytes)
                       {
                           self->is_written = !failure;
--- a/plugins/front/caller_server.cpp
+++ b/plugins/front/caller_server.cpp
@@ -269,7 +269,7 @@
     void handle_request()
     {
         // Every answer has a body, which a caller of HEAD would take for the next answer.
-        auto const head = m_parser->head();
+        auto const& head = m_parser->head();
         m_is_keep_alive = m_parser->keep_alive() && head.method != "HEAD";
         m_use = connection_use::running;
         auto const exchange = ++m_server->last_exchange;
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -524,7 +524,7 @@
     {
         constexpr unsigned http_1_1 = 11;
         // Without chunks an answer of unknown length ends with its connection.
-        auto head = m_parser->head();
+        auto& head = m_parser->head();
         m_is_last = !m_parser->keep_alive() || head.version < http_1_1;
         auto request = std::make_shared<gateway_request>();
         request->number = ++m_shared->last_number;
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -32,13 +32,12 @@
 constexpr auto connect_timeout = milliseconds(300);
 // A connection whose peer acknowledges nothing for this time is considered broken.
 constexpr auto server_silence_limit = milliseconds(3000);
+// Largest head of an answer, beside the id of its request, whose length the caller chooses.
 constexpr std::uint32_t max_header_bytes = 65536;
 // Bytes that are read at a time.
 constexpr std::size_t read_chunk_bytes = 16384;
 // Bytes that are written at a time.
 constexpr std::size_t write_chunk_bytes = 65536;
-// Input that is not parsed yet. A chunk header or a trailer that does not end is refused there.
-constexpr std::size_t max_unparsed_bytes = max_header_bytes + read_chunk_bytes;
 // Answers up to this size are collected, so that a broken one can be repeated at another server.
 constexpr std::size_t max_collected_bytes = 65536;
 // Divisor of the memory for answers: size up to which a larger answer is collected while further
@@ -111,6 +110,11 @@
     }
 
     void connect();
+    // An answer repeats the id of its request, and its signature may hold it too.
+    [[nodiscard]] std::uint32_t header_limit() const
+    {
+        return max_header_bytes + 2 * static_cast<std::uint32_t>(request_id.size());
+    }
     void write();
     void update_silence_limit();
     void start_message();
@@ -137,7 +141,7 @@
     memory_claim claim{memory};
     /// Missing if the address is none of a host.
     std::optional<tcp::endpoint> remote;
-    beast::flat_buffer buffer{max_unparsed_bytes};
+    beast::flat_buffer buffer;
     std::optional<http::answer_parser> parser;
     std::string request_id;
     bool is_head = false;
@@ -240,7 +244,7 @@
 void server_connection::implementation::start_message()
 {
     // The memory of a body is bounded here, and its time by the deadline of the request.
-    parser.emplace(http::parser_limits{max_header_bytes, std::nullopt});
+    parser.emplace(http::parser_limits{header_limit(), std::nullopt});
     if (is_head)
         parser->skip_body();
     received = {};
@@ -318,7 +322,7 @@
 void server_connection::implementation::on_head()
 {
     is_head_read = true;
-    received = to_answer(parser->head());
+    received = to_answer(std::move(parser->head()));
     meaning = classify_message(received, names, request_id);
     switch (meaning)
     {
@@ -460,7 +464,7 @@
     if (!may_reuse)
         close();
     // An idle connection keeps no memory for its input, nor its last request.
-    buffer = beast::flat_buffer(max_unparsed_bytes);
+    buffer = beast::flat_buffer();
     if (may_reuse)
         text = {};
     // A copy of the handler, since it may destroy this connection's owner or start a new exchange.
@@ -505,6 +509,8 @@
 {
     auto& own = *m_implementation;
     own.request_id = std::move(request_id);
+    // Input that is not parsed yet. A chunk header or a trailer that does not end is refused there.
+    own.buffer.max_size(own.header_limit() + read_chunk_bytes);
     own.is_head = is_head;
     own.serializer = std::move(serialize);
     own.handlers = std::move(handlers);
--- a/tests/caller/caller_test.cpp
+++ b/tests/caller/caller_test.cpp
@@ -262,6 +262,26 @@
     CHECK(host.requests().size() == 1);
 }
 
+// Failure: a header above 65,533 bytes threw an exception out of the library.
+TEST_CASE("caller_large_header_is_sent", "[caller][concurrent]")
+{
+    std::string const large(70'000, 'x');
+    support::raw_listener host;
+    auto received = std::async(std::launch::async,
+                               [&host, &large]()
+                               {
+                                   caller::connection_pool pool;
+                                   return pool.exchange("127.0.0.1",
+                                                        host.port(),
+                                                        {"GET", "/", {{"X-Long", large}}, {}},
+                                                        max_wait);
+                               });
+    auto connection = host.accept();
+    CHECK(connection.receive_message().find(large) != std::string::npos);
+    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK(received.get().end == caller::exchange_end::answered);
+}
+
 // Bytes without end are not kept, and an answer that is none does not count as one.
 TEST_CASE("caller_answer_that_is_none_is_lost", "[caller][concurrent]")
 {
--- a/tests/libraries/message_cut_test.cpp
+++ b/tests/libraries/message_cut_test.cpp
@@ -160,6 +160,10 @@
     "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
     "Content-Length: 65\r\n\r\nx",
     "bad\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n0\r\nA: " + std::string(502, 'b') + "\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n0\r\nA: " + std::string(503, 'b') + "\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n1;a=" + std::string(506, 'b') + "\r\nx\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n1;a=" + std::string(507, 'b') + "\r\nx\r\n0\r\n\r\n",
     // Incomplete.
     "Transfer-Encoding: chunked\r\n\r\n",
     "Transfer-Encoding: chunked\r\n\r\n0\r\n",
@@ -210,6 +214,56 @@
     CHECK(result.failure == boost::beast::http::error::partial_message);
 }
 
+// Failure: a name or value above 65,533 bytes threw an exception that left the event loop.
+TEST_CASE("message_field_is_bounded_by_the_limits_alone", "[http]")
+{
+    auto const size = GENERATE(std::size_t{65'533}, std::size_t{65'534}, std::size_t{1'000'000});
+    auto const is_name = GENERATE(false, true);
+    std::string const large(size, 'x');
+    auto const field = is_name ? http::header{large, "y"} : http::header{"y", large};
+    std::vector<http::header> const headers{{"Host", "h"}, field};
+    auto const text = http::serialize_request("PUT", "/a", headers, "body");
+    auto const head_bytes = static_cast<std::uint32_t>(text.size() - 4);
+    for (auto const missing : {0U, 1U})
+    {
+        http::request_parser parser({head_bytes - missing, 4});
+        boost::beast::flat_buffer buffer;
+        std::copy(text.begin(), text.end(), static_cast<char*>(buffer.prepare(text.size()).data()));
+        buffer.commit(text.size());
+        error_code failure;
+        http::parse_buffered(buffer, parser, failure);
+        if (missing > 0)
+        {
+            CHECK(failure == boost::beast::http::error::header_limit);
+            continue;
+        }
+        REQUIRE(parser.is_done());
+        CHECK(parser.head().headers.at(1).name == field.name);
+        CHECK(parser.head().headers.at(1).value == field.value);
+        CHECK(parser.body() == "body");
+    }
+}
+
+// Failure: the client of the store and the caller library threw an exception that no caller of
+// theirs expects for a header above 65,533 bytes.
+TEST_CASE("http_client_large_header_is_sent", "[libraries][concurrent]")
+{
+    std::string const large(70'000, 'x');
+    support::raw_listener listener;
+    http::client client("127.0.0.1", listener.port());
+    std::string received;
+    std::thread server(
+        [&listener, &received]()
+        {
+            auto connection = listener.accept();
+            received = connection.receive_message();
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+    CHECK(client.send({"GET", "/", {{"X-Long", large}}, {}}).status == 200);
+    server.join();
+    CHECK(received.find("X-Long: " + large + "\r\n") != std::string::npos);
+}
+
 // Guards against a client whose input does not pass the bounded parser: the store, or an operator's
 // connection, would end the process.
 TEST_CASE("http_client_empty_chunked_answer_in_pieces_is_read", "[libraries][concurrent]")
