--- a/libraries/caller/connection.cpp
+++ b/libraries/caller/connection.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include <map>
 #include <optional>
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <sys/socket.h>
 
--- a/plugins/backend/server_connection.cpp
+++ b/plugins/backend/server_connection.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <chrono>
--- a/plugins/front/caller_server.cpp
+++ b/plugins/front/caller_server.cpp
@@ -13,7 +13,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
 #include <unordered_map>
 #include <unordered_set>
@@ -27,7 +26,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 namespace bounds = pistachiohub::http;
 using asio::ip::tcp;
 using boost::system::error_code;
--- a/plugins/gateway/caller_server.cpp
+++ b/plugins/gateway/caller_server.cpp
@@ -15,7 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <unordered_map>
--- a/plugins/gateway/server_connection.cpp
+++ b/plugins/gateway/server_connection.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <charconv>
