tests: Repeat messages until a peer's loss is noticed

The test took for granted that a connection stands within 250 ms and that its loss is noticed within 100 ms. Until then nng takes a message, which counts as sent; peer_links holds, sends or reports each other one. Ruled out: a longer wait in the test, which moves the limit only. Change: the heartbeat and the submit are repeated. Each submit must count as sent or be reported; after the first report the next must be reported too.

--- a/tests/peer/peer_duty_test.cpp
+++ b/tests/peer/peer_duty_test.cpp
@@ -76,6 +76,14 @@
         return context.shared<kernel::mailbox<events::control_event>>();
     }
 
+    /// @returns the number of messages of one kind that a connection has taken.
+    [[nodiscard]] double sent(std::string_view kind)
+    {
+        return context.own_metrics()
+            .find_counter("pistachiohub_peer_messages_sent_total", {"kind", kind})
+            .value();
+    }
+
     [[nodiscard]] bool eventually_refused(std::string_view cause, double number)
     {
         auto const counter = context.own_metrics().find_counter(
@@ -210,18 +218,39 @@
     auto first_run = std::make_unique<test_daemon>("host-2", 4096, own_settings);
     own_settings.peer_port = first_run->port();
     m_first.publish_peer("host-2", own_settings.peer_port);
-    m_first.send(messages::heartbeat{});
-    REQUIRE(receive<events::peer_heard>(first_run->control()));
+    auto const is_heard_by = [this](test_daemon& peer)
+    {
+        m_first.send(messages::heartbeat{});
+        return receive<events::peer_heard>(peer.control(), short_wait).has_value();
+    };
+    REQUIRE(eventually(
+        [&]()
+        {
+            return is_heard_by(*first_run);
+        }));
     first_run.reset();
-    std::this_thread::sleep_for(short_wait);
-    m_first.send(m_submit);
-    REQUIRE(receive<events::peer_unsent>(m_first.forward()));
+    // Until its loss is noticed, the old connection may take messages, which then count as sent.
+    auto const is_reported = [this]()
+    {
+        std::this_thread::sleep_for(short_wait);
+        auto const sent_before = m_first.sent("submit");
+        m_first.send(m_submit);
+        bool has_report = false;
+        REQUIRE(eventually(
+            [&]()
+            {
+                has_report = receive<events::peer_unsent>(m_first.forward(), {}).has_value();
+                return has_report || m_first.sent("submit") > sent_before;
+            }));
+        return has_report;
+    };
+    REQUIRE(eventually(is_reported));
+    CHECK(is_reported());
     test_daemon second_run("host-2", 8192, own_settings);
     CHECK(eventually(
         [&]()
         {
-            m_first.send(messages::heartbeat{});
-            return receive<events::peer_heard>(second_run.control(), short_wait).has_value();
+            return is_heard_by(second_run);
         }));
     CHECK_FALSE(receive<events::peer_request_message>(second_run.forward(), short_wait));
 }
